--- /dev/null
+++ b/src/jasmineseam/documents.py
@@ -0,0 +1,107 @@
+"""Checking of structured documents that reports every fault, not only the first."""
+
+from __future__ import annotations
+
+import typing as t
+
+import msgspec
+
+from .exceptions import Fault
+
+T = t.TypeVar("T", bound=msgspec.Struct)
+SHOWN_VALUE_CHARS = 60
+
+
+def find_faults(kind: type, value: t.Any, path: str = "") -> list[Fault]:
+    """List all that is wrong with *value* as a document of type *kind*.
+
+    :param kind: a :class:`msgspec.Struct` type, or any type msgspec can convert to.
+    :param value: plain data, as read from JSON.
+    :param path: prefix of the paths in the returned faults.
+
+    >>> class Point(msgspec.Struct):
+    ...     x: int
+    ...     y: int
+    >>> [str(fault) for fault in find_faults(Point, {"x": "1", "z": 3})]
+    ["x: got '1', expected int", 'y: got nothing, expected int', 'z: got 3, expected no such key']
+    """
+    if _is_struct(kind):
+        return _find_struct_faults(kind, value, path)
+    if t.get_origin(kind) is list and isinstance(value, list):
+        return _find_list_faults(t.get_args(kind)[0], value, path)
+    if _converts(kind, value):
+        return []
+    return [Fault(path or "document", _shorten(value), _describe(kind, value))]
+
+
+def convert_document(kind: type[T], value: t.Any) -> T:
+    """Convert plain data that has no faults to a typed document."""
+    return msgspec.convert(value, kind)
+
+
+def _find_struct_faults(kind: type, value: t.Any, path: str) -> list[Fault]:
+    if not isinstance(value, dict):
+        return [Fault(path or "document", _shorten(value), "an object")]
+    faults = []
+    hints = t.get_type_hints(kind, include_extras=True)
+    fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
+    for name, field in fields.items():
+        inner = _join(path, name)
+        hint = hints[field.name]
+        if name in value:
+            faults.extend(find_faults(hint, value[name], inner))
+            continue
+        if field.required:
+            faults.append(Fault(inner, "nothing", _describe(hint, None)))
+    for name in value:
+        if name not in fields:
+            faults.append(Fault(_join(path, name), _shorten(value[name]), "no such key"))
+    if not faults and not _converts(kind, value):
+        faults.append(Fault(path or "document", _shorten(value), _describe(kind, value)))
+    return faults
+
+
+def _find_list_faults(kind: type, values: list[t.Any], path: str) -> list[Fault]:
+    faults = []
+    for index, value in enumerate(values):
+        faults.extend(find_faults(kind, value, f"{path}[{index}]"))
+    return faults
+
+
+def _is_struct(kind: t.Any) -> bool:
+    return isinstance(kind, type) and issubclass(kind, msgspec.Struct)
+
+
+def _converts(kind: t.Any, value: t.Any) -> bool:
+    try:
+        msgspec.convert(value, kind)
+    except (msgspec.ValidationError, ValueError):
+        return False
+    return True
+
+
+def _describe(kind: t.Any, value: t.Any) -> str:
+    name = getattr(kind, "__name__", str(kind))
+    if t.get_origin(kind) is not t.Annotated:
+        if t.get_origin(kind) is t.Literal:
+            return "one of " + ", ".join(map(str, t.get_args(kind)))
+        return name
+    base, *metas = t.get_args(kind)
+    parts = [getattr(base, "__name__", str(base))]
+    for meta in metas:
+        for bound in ("gt", "ge", "lt", "le", "min_length", "max_length", "pattern"):
+            limit = getattr(meta, bound, None)
+            if limit is not None:
+                parts.append(f"{bound} {limit}")
+    return " ".join(parts)
+
+
+def _shorten(value: t.Any) -> str:
+    text = repr(value)
+    if len(text) <= SHOWN_VALUE_CHARS:
+        return text
+    return text[:SHOWN_VALUE_CHARS] + "..."
+
+
+def _join(path: str, name: str) -> str:
+    return f"{path}.{name}" if path else str(name)
--- /dev/null
+++ b/src/jasmineseam/measuring/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring: load reports that answers carry, and the budget that probes must keep."""
--- /dev/null
+++ b/src/jasmineseam/measuring/reports.py
@@ -0,0 +1,45 @@
+"""Load reports: what a server says of itself in the headers of its answers.
+
+``Backend-Load: <in flight>/<slots>`` and ``Backend-State: live | draining | cold``. Reports are
+old on arrival and may mislead, so they only tilt choices and never forbid one, but for
+``draining``.
+"""
+
+from __future__ import annotations
+
+import re
+
+import msgspec
+
+LOAD_HEADER = "Backend-Load"
+STATE_HEADER = "Backend-State"
+DRAINING = "draining"
+COLD = "cold"
+_LOAD_PATTERN = re.compile(r"^([0-9]{1,6})/([0-9]{1,6})$")
+
+
+class LoadReport(msgspec.Struct, kw_only=True, frozen=True):
+    """A server's word on its load.
+
+    :param in_flight: requests that it holds, waiting ones included.
+    :param slots: requests that it runs at once.
+    """
+
+    in_flight: int
+    slots: int
+
+
+def parse_load(text: str | None) -> LoadReport | None:
+    """Parse a report; one that makes no sense is no report.
+
+    >>> parse_load("3/4").in_flight
+    3
+    >>> parse_load("many") is None
+    True
+    """
+    if text is None:
+        return None
+    match = _LOAD_PATTERN.match(text)
+    if match is None or match[2] == "0":
+        return None
+    return LoadReport(in_flight=int(match[1]), slots=int(match[2]))
--- /dev/null
+++ b/src/jasmineseam/membership/vms.py
@@ -0,0 +1,153 @@
+"""Entry VMs: live if heard from lately or listed live, and not leaving."""
+
+from __future__ import annotations
+
+import msgspec
+
+HEARD_FOR_S = 3.0
+FORGOTTEN_AFTER_S = 30.0
+SUCCESSORS_KEPT = 1024
+SUCCESSIONS_FOLLOWED = 16
+
+
+class EntryProcess(msgspec.Struct, kw_only=True):
+    """An entry process as the other VMs and the callers need to know it.
+
+    :param incarnation: random for each start of the process.
+    :param http_address: ``ip:port`` for callers.
+    :param control_address: ``ip:port`` for the system's own processes.
+    :param key_prefix: the prefix that it hands out for idempotency keys now.
+    :param in_flight: requests that it holds.
+    """
+
+    incarnation: str
+    http_address: str
+    control_address: str
+    key_prefix: str
+    in_flight: int = 0
+
+
+class VmInfo(msgspec.Struct, kw_only=True):
+    """What an agent says of its own VM.
+
+    :param incarnation: random for each start of the agent.
+    :param seat: which share of the measuring budget the VM has.
+    :param ready: whether its entries may be named to callers.
+    """
+
+    vm_id: str
+    incarnation: str
+    failure_domain: str
+    agent_address: str
+    seat: int
+    ready: bool = False
+    leaving: bool = False
+    entries: list[EntryProcess] = []
+
+
+class Successor(msgspec.Struct, kw_only=True, frozen=True):
+    """The entry process that took over the ledger of one that has stopped."""
+
+    incarnation: str
+    successor: str
+
+
+class EntryVms:
+    """What one VM knows of all entry VMs.
+
+    :param clock: returns seconds, monotonic.
+
+    >>> vms = EntryVms(clock=lambda: 0.0)
+    >>> info = VmInfo(vm_id="a", incarnation="1", failure_domain="d1", agent_address="127.0.0.1:1",
+    ...               seat=0, ready=True)
+    >>> vms.hear(info)
+    True
+    >>> [vm.vm_id for vm in vms.list_live()]
+    ['a']
+    """
+
+    __slots__ = ("_clock", "_heard_at", "_infos", "_listed", "_successors")
+
+    def __init__(self, *, clock) -> None:
+        self._clock = clock
+        self._infos: dict[str, VmInfo] = {}
+        self._heard_at: dict[str, float] = {}
+        self._listed: dict[str, str] = {}
+        self._successors: dict[str, str] = {}
+
+    def hear(self, info: VmInfo) -> bool:
+        """Take a VM's word on itself.
+
+        :returns: whether something that callers or peers need to know has changed.
+        """
+        held = self._infos.get(info.vm_id)
+        self._infos[info.vm_id] = info
+        self._heard_at[info.vm_id] = self._clock()
+        if held is None:
+            return True
+        return _strip(held) != _strip(info)
+
+    def take_list(self, listed: dict[str, str]) -> None:
+        """Take the platform's list of entry VMs: their ids and states."""
+        self._listed = listed
+        for vm_id in list(self._infos):
+            if vm_id in listed or self._is_heard(vm_id, FORGOTTEN_AFTER_S):
+                continue
+            del self._infos[vm_id]
+            del self._heard_at[vm_id]
+
+    def list_live(self) -> list[VmInfo]:
+        """Return the VMs that callers may be sent to."""
+        live = []
+        for vm_id, info in self._infos.items():
+            if info.leaving or not info.ready:
+                continue
+            listed = self._listed.get(vm_id)
+            if listed == "leaving":
+                continue
+            if not self._is_heard(vm_id, HEARD_FOR_S) and listed != "live":
+                continue
+            live.append(info)
+        return live
+
+    def list_known(self) -> list[VmInfo]:
+        """Return all VMs heard of, leaving ones included."""
+        return list(self._infos.values())
+
+    def get_age_s(self, vm_id: str) -> float:
+        """Return the time since a VM was heard, in seconds."""
+        return self._clock() - self._heard_at.get(vm_id, float("-inf"))
+
+    def learn_successors(self, successors: list[Successor]) -> bool:
+        """Remember who took over whose ledger; returns whether any was new."""
+        changed = False
+        for successor in successors:
+            if successor.incarnation in self._successors:
+                continue
+            self._successors[successor.incarnation] = successor.successor
+            changed = True
+        while len(self._successors) > SUCCESSORS_KEPT:
+            del self._successors[next(iter(self._successors))]
+        return changed
+
+    def list_successors(self) -> list[Successor]:
+        """Return all known successions."""
+        pairs = self._successors.items()
+        return [Successor(incarnation=old, successor=new) for old, new in pairs]
+
+    def find_successor(self, incarnation: str) -> str:
+        """Return the process that holds a process's ledger now, following all successions."""
+        for _ in range(SUCCESSIONS_FOLLOWED):
+            successor = self._successors.get(incarnation)
+            if successor is None:
+                break
+            incarnation = successor
+        return incarnation
+
+    def _is_heard(self, vm_id: str, within_s: float) -> bool:
+        return self.get_age_s(vm_id) <= within_s
+
+
+def _strip(info: VmInfo) -> tuple:
+    entries = tuple((entry.incarnation, entry.key_prefix) for entry in info.entries)
+    return info.incarnation, info.ready, info.leaving, entries
--- /dev/null
+++ b/src/jasmineseam/operations/daemon.py
@@ -0,0 +1,183 @@
+"""The life of a process: start, planned stop on SIGTERM, state dump on request, end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import pathlib
+import secrets
+import signal
+import sys
+import time
+import typing as t
+
+import defopt
+import logbook
+import mode
+import msgspec
+import zmq.asyncio
+
+from .. import invariants
+from ..exceptions import SettingsError
+from ..peers.links import PeerLinks
+from ..peers.links import PeerServer
+from ..peers.messages import DumpReply
+from ..peers.messages import DumpRequest
+from ..peers.messages import Message
+from ..peers.messages import Refused
+from .logs import set_up_logs
+from .metrics import add_counter
+from .metrics import add_gauge
+from .metrics import set_up_metrics
+from .settings import Settings
+from .settings import load_settings
+
+EXIT_USAGE = 2
+EXIT_STOPPED_AT_ONCE = 130
+
+
+class Daemon(mode.Service):
+    """Base of the programs: a control address, a dump, metrics and a planned stop.
+
+    :param settings: of the VM.
+    :param role: the program's name.
+    :param control_port: where other processes reach this one.
+    """
+
+    abstract = True
+
+    def __init__(self, *, settings: Settings, role: str, control_port: int) -> None:
+        super().__init__()
+        self.settings = settings
+        self.role = role
+        self.incarnation = secrets.token_hex(8)
+        self.began_at = time.monotonic()
+        self.logger = logbook.Logger(role)
+        self.metrics = set_up_metrics(settings.metrics)
+        self._control_port = control_port
+        self._context = zmq.asyncio.Context()
+        self.links = PeerLinks(context=self._context)
+        self.peer_server: PeerServer | None = None
+
+    async def on_start(self) -> None:
+        """Bind the control address and serve it."""
+        self.peer_server = PeerServer(
+            context=self._context,
+            host=self.settings.vm.address,
+            port=self._control_port,
+            handler=self._handle_message,
+        )
+        self.add_future(self.peer_server.serve())
+        self._add_common_metrics()
+        self.logger.info("Started as {} on {}.", self.incarnation, self.peer_server.address)
+
+    async def handle(self, message: Message) -> Message:
+        """Answer a peer's message; programs override this."""
+        return Refused(reason=f"{self.role} takes no {type(message).__name__}")
+
+    async def stop_gracefully(self) -> None:
+        """Do what a planned stop needs; programs override this."""
+
+    def describe(self) -> dict[str, t.Any]:
+        """Return the state for a dump; programs override this."""
+        return {}
+
+    def dump(self) -> str:
+        """Return the state as a JSON document."""
+        document = {
+            "role": self.role,
+            "vm": self.settings.vm.id,
+            "incarnation": self.incarnation,
+            "uptime_s": round(time.monotonic() - self.began_at, 3),
+            "invariant_violations": dict(invariants.violations),
+            "dropped_messages": dict(self.peer_server.dropped) if self.peer_server else {},
+        }
+        document.update(self.describe())
+        return msgspec.json.encode(document).decode()
+
+    async def on_stop(self) -> None:
+        """Close what :meth:`on_start` opened."""
+        self.links.close()
+        if self.peer_server is not None:
+            self.peer_server.close()
+        self.metrics.shutdown()
+
+    async def _handle_message(self, message: Message) -> Message:
+        if isinstance(message, DumpRequest):
+            return DumpReply(document=self.dump())
+        return await self.handle(message)
+
+    def _add_common_metrics(self) -> None:
+        def read_violations():
+            return [(count, {"invariant": name}) for name, count in invariants.violations.items()]
+
+        def read_dropped():
+            return [(count, {"reason": name}) for name, count in self.peer_server.dropped.items()]
+
+        def read_uptime():
+            return [(time.monotonic() - self.began_at, {"role": self.role})]
+
+        add_counter(self.metrics, "invariant.violations", "1", "Violations.", read_violations)
+        add_counter(self.metrics, "messages.dropped", "1", "Messages dropped.", read_dropped)
+        add_gauge(self.metrics, "uptime", "s", "Time since start.", read_uptime)
+
+
+async def _live(daemon: Daemon) -> int:
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    at_once = asyncio.Event()
+
+    def stop() -> None:
+        if stopping.is_set():
+            at_once.set()
+        stopping.set()
+
+    def show() -> None:
+        daemon.logger.info("State: {}", daemon.dump())
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
+    loop.add_signal_handler(signal.SIGUSR1, show)
+    await daemon.start()
+    gc.collect()
+    gc.freeze()
+    ended = asyncio.ensure_future(daemon.wait_until_stopped())
+    asked = asyncio.ensure_future(stopping.wait())
+    await asyncio.wait({ended, asked}, return_when=asyncio.FIRST_COMPLETED)
+    if daemon.crashed or not stopping.is_set():
+        daemon.logger.error("Crashed: {!r}", daemon.crash_reason)
+        return 1
+    daemon.logger.info("Planned stop begins.")
+    graceful = asyncio.ensure_future(daemon.stop_gracefully())
+    hurried = asyncio.ensure_future(at_once.wait())
+    await asyncio.wait({graceful, hurried}, return_when=asyncio.FIRST_COMPLETED)
+    if not graceful.done():
+        daemon.logger.warning("Second signal: stops at once.")
+        return EXIT_STOPPED_AT_ONCE
+    if graceful.exception() is not None:
+        daemon.logger.error("Planned stop failed: {!r}", graceful.exception())
+    await daemon.stop()
+    daemon.logger.info("Stopped.")
+    return 0
+
+
+def run_daemon(make: t.Callable[[Settings], Daemon], settings: Settings) -> t.NoReturn:
+    """Run a daemon until it is stopped, and end the process."""
+    set_up_logs(settings.logs)
+    invariants.set_fatal(settings.fatal_invariants)
+    sys.exit(asyncio.run(_live(make(settings))))
+
+
+def load_or_exit(path: pathlib.Path) -> Settings:
+    """Load a settings file, or print every fault and end the process."""
+    try:
+        return load_settings(path)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"{error.source}: {fault}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+def run_command(command: t.Callable) -> None:
+    """Run a program's command line."""
+    defopt.run(command, cli_options="has_default", short={})
--- /dev/null
+++ b/src/jasmineseam/operations/logs.py
@@ -0,0 +1,43 @@
+"""Logs by logbook: short sentences with the part's prefix; no bodies, keys or secrets."""
+
+from __future__ import annotations
+
+import sys
+
+import logbook
+import logbook.compat
+import msgspec
+
+from .settings import LogSettings
+
+TEXT_FORMAT = (
+    "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} {record.channel}: {record.message}"
+)
+
+
+def set_up_logs(settings: LogSettings) -> None:
+    """Send all logs of this process where the settings say."""
+    logbook.compat.redirect_logging()
+    level = logbook.lookup_level(settings.level.upper())
+    if settings.destination == "syslog":
+        handler: logbook.Handler = logbook.SyslogHandler("jasmineseam", level=level)
+    else:
+        stream = sys.stderr if settings.destination == "stderr" else sys.stdout
+        handler = logbook.StreamHandler(stream, level=level)
+    if settings.format == "json":
+        handler.formatter = _format_json
+    else:
+        handler.format_string = TEXT_FORMAT
+    handler.push_application()
+
+
+def _format_json(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
+    line = {
+        "time": record.time.isoformat(),
+        "level": record.level_name,
+        "part": record.channel,
+        "message": record.message,
+    }
+    if record.exc_info:
+        line["error"] = record.formatted_exception
+    return msgspec.json.encode(line).decode()
--- /dev/null
+++ b/src/jasmineseam/operations/metrics.py
@@ -0,0 +1,60 @@
+"""Metrics by OpenTelemetry: observable instruments over plain counters, read only on export."""
+
+from __future__ import annotations
+
+import typing as t
+
+from opentelemetry import metrics
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import ConsoleMetricExporter
+from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
+
+from .settings import MetricSettings
+
+Read = t.Callable[[], t.Iterable[tuple[float, dict[str, str]]]]
+
+
+def set_up_metrics(settings: MetricSettings) -> MeterProvider:
+    """Build the provider that exports where the settings say."""
+    readers = []
+    if settings.exporter != "none":
+        interval_ms = settings.interval_s * 1000
+        exporter = _make_exporter(settings)
+        readers.append(PeriodicExportingMetricReader(exporter, export_interval_millis=interval_ms))
+    return MeterProvider(metric_readers=readers)
+
+
+def _make_exporter(settings: MetricSettings) -> t.Any:
+    if settings.exporter == "console":
+        return ConsoleMetricExporter()
+    # part of the "otlp" extra
+    from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
+
+    return OTLPMetricExporter(endpoint=settings.endpoint)
+
+
+def add_counter(provider: MeterProvider, name: str, unit: str, text: str, read: Read) -> None:
+    """Export a monotonic sum.
+
+    :param name: without the ``jasmineseam.`` prefix.
+    :param read: returns values with their attributes.
+    """
+    meter = provider.get_meter("jasmineseam")
+    meter.create_observable_counter(
+        f"jasmineseam.{name}", callbacks=[_make_callback(read)], unit=unit, description=text
+    )
+
+
+def add_gauge(provider: MeterProvider, name: str, unit: str, text: str, read: Read) -> None:
+    """Export a value that rises and falls."""
+    meter = provider.get_meter("jasmineseam")
+    meter.create_observable_gauge(
+        f"jasmineseam.{name}", callbacks=[_make_callback(read)], unit=unit, description=text
+    )
+
+
+def _make_callback(read: Read) -> t.Callable:
+    def observe(_options: metrics.CallbackOptions) -> list[metrics.Observation]:
+        return [metrics.Observation(value, attributes) for value, attributes in read()]
+
+    return observe
--- /dev/null
+++ b/src/jasmineseam/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and links between the system's own processes."""
--- /dev/null
+++ b/src/jasmineseam/programs/attempts.py
@@ -0,0 +1,257 @@
+"""One attempt of a request at one server, over aiohttp."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import itertools
+import time
+
+import aiohttp
+import yarl
+from multidict import CIMultiDict
+
+from ..exceptions import AttemptLostError
+from ..exceptions import AttemptNotRunError
+from ..measuring.reports import DRAINING
+from ..measuring.reports import LOAD_HEADER
+from ..measuring.reports import STATE_HEADER
+from ..measuring.reports import parse_load
+from ..requests.inbound import ATTEMPT_HEADER
+from ..requests.inbound import DEADLINE_HEADER
+from ..requests.inbound import EXTRA_ATTEMPT_HEADER
+from ..requests.inbound import REFUSAL_HEADER
+from ..requests.inbound import InboundRequest
+from ..requests.inbound import strip_headers
+from ..requests.outcome import Answer
+from ..routing.backends import Backend
+from ..routing.pool import Pool
+
+CONNECTIONS_PER_SERVER = 40
+IDLE_CONNECTION_S = 15.0
+CONNECT_TIMEOUT_S = 0.5
+READ_BYTES = 65_536
+SERVER_ERRORS = frozenset({500, 502, 503, 504})
+_NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+_SKIPPED = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+
+
+class OpenAnswer:
+    """An answer too large to be held whole: its beginning, and the connection for the rest.
+
+    :param head: status and headers; its body is the beginning.
+    :param response: the rest of it.
+    """
+
+    __slots__ = ("_end", "head", "response")
+
+    def __init__(self, *, head: Answer, response: aiohttp.ClientResponse, end) -> None:
+        self.head = head
+        self.response = response
+        self._end = end
+
+    def close(self) -> None:
+        """Drop the connection, unless the answer was read to its end, and end the attempt."""
+        self.response.close()
+        self._end()
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Open the HTTP session towards servers."""
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=CONNECTIONS_PER_SERVER,
+        keepalive_timeout=IDLE_CONNECTION_S,
+        use_dns_cache=False,
+    )
+    session = aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=_SKIPPED,
+        timeout=aiohttp.ClientTimeout(total=None),
+    )
+    # aiohttp would repeat requests by their method alone, but the catalogue decides that
+    session._retry_connection = False
+    return session
+
+
+class Sender:
+    """Sends attempts and judges what comes back.
+
+    :param session: towards servers.
+    :param on_leaving: called with a server's id and the source when it says that it is leaving.
+    """
+
+    def __init__(self, *, session: aiohttp.ClientSession, on_leaving) -> None:
+        self._session = session
+        self._on_leaving = on_leaving
+        self._numbers = itertools.count(1)
+        self.dropped: collections.Counter[str] = collections.Counter()
+        self.observed: set[str] = set()
+
+    async def attempt(
+        self,
+        pool: Pool,
+        backend: Backend,
+        inbound: InboundRequest,
+        *,
+        extra: bool,
+        buffer_bytes: int,
+    ) -> Answer | OpenAnswer:
+        """Send a request to a server and return its answer.
+
+        :param extra: whether this is a retry or a hedge.
+        :param buffer_bytes: answers up to this size are returned whole.
+        :raises AttemptNotRunError: no byte left, or the server refused.
+        :raises AttemptLostError: it may have been run.
+        """
+        began_at = time.monotonic()
+        token = backend.begin(began_at)
+        open_answer = None
+        try:
+            result = await self._exchange(pool, backend, inbound, extra, buffer_bytes, token)
+            if isinstance(result, OpenAnswer):
+                open_answer = result
+            return result
+        except AttemptLostError:
+            pool.note_lost(backend)
+            raise
+        finally:
+            if open_answer is None:
+                backend.end(token, time.monotonic())
+
+    async def _exchange(
+        self,
+        pool: Pool,
+        backend: Backend,
+        inbound: InboundRequest,
+        extra: bool,
+        buffer_bytes: int,
+        token: int,
+    ) -> Answer | OpenAnswer:
+        began_at = time.monotonic()
+        remaining_s = inbound.deadline_at - began_at
+        if remaining_s <= 0:
+            raise AttemptNotRunError("deadline")
+        number = str(next(self._numbers))
+        headers = self._build_headers(inbound, number, remaining_s, extra)
+        url = yarl.URL(f"http://{backend.server.address}{inbound.path}", encoded=True)
+        try:
+            response = await self._session.request(
+                inbound.method,
+                url,
+                headers=headers,
+                data=inbound.body or None,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=remaining_s, sock_connect=CONNECT_TIMEOUT_S),
+            )
+        except _NOT_SENT as error:
+            pool.note_lost(backend)
+            raise AttemptNotRunError("connect") from error
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise AttemptLostError(_name_loss(error)) from error
+        whole = False
+        try:
+            self._judge_head(pool, backend, response, number)
+            answer = await self._receive(response, buffer_bytes)
+            whole = True
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise AttemptLostError(_name_loss(error)) from error
+        finally:
+            if not whole:
+                # an abandoned answer's connection is never used again
+                response.close()
+        latency_s = time.monotonic() - began_at
+        pool.note_answer(backend, latency_s, good=response.status not in SERVER_ERRORS)
+        self.observed.add(backend.server.server_id)
+        if answer is not None:
+            return answer
+        head = Answer(status=response.status, headers=strip_headers(response.headers), body=b"")
+        return OpenAnswer(
+            head=head,
+            response=response,
+            end=lambda: backend.end(token, time.monotonic()),
+        )
+
+    def _build_headers(
+        self, inbound: InboundRequest, number: str, remaining_s: float, extra: bool
+    ) -> CIMultiDict:
+        headers = CIMultiDict(inbound.headers)
+        headers["Host"] = inbound.service
+        headers[ATTEMPT_HEADER] = number
+        headers[DEADLINE_HEADER] = str(int(remaining_s * 1000))
+        if extra or inbound.extra:
+            headers[EXTRA_ATTEMPT_HEADER] = "1"
+        return headers
+
+    def _judge_head(
+        self, pool: Pool, backend: Backend, response: aiohttp.ClientResponse, number: str
+    ) -> None:
+        headers = response.headers
+        echoed = headers.get(ATTEMPT_HEADER)
+        if echoed is not None and echoed != number:
+            self.dropped["crossed-answer"] += 1
+            raise AttemptLostError("crossed-answer")
+        server_id = backend.server.server_id
+        state = headers.get(STATE_HEADER)
+        if state == DRAINING:
+            self._on_leaving(server_id, "answer")
+        report = parse_load(headers.get(LOAD_HEADER))
+        if report is not None:
+            pool.note_report(backend, report, state)
+        refusal = headers.get(REFUSAL_HEADER)
+        if refusal is None or response.status != 503:
+            return
+        if refusal == DRAINING:
+            self._on_leaving(server_id, "refusal")
+            raise AttemptNotRunError("draining")
+        pool.admission.limit.note_shed()
+        raise AttemptNotRunError("shed")
+
+    async def _receive(self, response: aiohttp.ClientResponse, buffer_bytes: int) -> Answer | None:
+        """Read an answer whole, or return ``None`` with the response left open."""
+        length = response.content_length
+        if length is not None and length > buffer_bytes and response.method != "HEAD":
+            return None
+        if length is not None:
+            body = await response.read()
+            return _build_answer(response, body)
+        chunks = []
+        size = 0
+        while size <= buffer_bytes:
+            chunk = await response.content.read(READ_BYTES)
+            if not chunk:
+                return _build_answer(response, b"".join(chunks))
+            chunks.append(chunk)
+            size += len(chunk)
+        # what was read goes back in front of the rest
+        response.content.unread_data(b"".join(chunks))
+        return None
+
+
+def _build_answer(response: aiohttp.ClientResponse, body: bytes) -> Answer:
+    headers = strip_headers(response.headers)
+    if response.method == "HEAD" and "Content-Length" in response.headers:
+        headers.append(("Content-Length", response.headers["Content-Length"]))
+    return Answer(status=response.status, headers=headers, body=body)
+
+
+def _name_loss(error: Exception) -> str:
+    if isinstance(error, TimeoutError):
+        return "deadline"
+    if isinstance(error, aiohttp.ClientPayloadError):
+        return "answer-cut"
+    if isinstance(error, aiohttp.ServerDisconnectedError):
+        return "disconnected"
+    return "connection"
+
+
+async def end_tasks(tasks: set[asyncio.Task]) -> None:
+    """Cancel tasks and wait for their end."""
+    for task in tasks:
+        task.cancel()
+    for task in tasks:
+        with contextlib.suppress(Exception, asyncio.CancelledError):
+            await task
--- /dev/null
+++ b/src/jasmineseam/programs/catalogue_reader.py
@@ -0,0 +1,184 @@
+"""Following the platform's log: reading, starting from checkpoints, and writing them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import time
+import typing as t
+
+import logbook
+
+from ..catalogue.fold import Catalogue
+from ..catalogue.fold import find_checkpoint
+from ..catalogue.records import digest_payload
+from ..catalogue.records import encode_record
+from ..catalogue.records import split_snapshot
+from ..exceptions import LogUnavailableError
+from ..exceptions import RecordsTrimmedError
+from ..platform.log import CATALOGUE_STREAM
+from ..platform.log import LogClient
+
+POLL_S = 0.25
+RETRY_S = 0.5
+CHECKPOINT_RECORDS = 500
+CHECKPOINT_RETENTION_SHARE = 0.25
+CHECKPOINT_CHECK_S = 0.5
+_logger = logbook.Logger("log")
+
+
+class CatalogueReader:
+    """Keeps one catalogue up with the log.
+
+    :param catalogue: the fold to advance.
+    :param log: the platform's log.
+    :param retention_s: for how long the log keeps records.
+    :param join_peers: takes a newer state from the peers, while the log can't give it.
+    :param get_rank: this agent's place among the live ones, so that one writes checkpoints.
+    """
+
+    def __init__(
+        self,
+        *,
+        catalogue: Catalogue,
+        log: LogClient,
+        retention_s: float,
+        join_peers: t.Callable[[], t.Awaitable[bool]],
+        get_rank: t.Callable[[], int],
+    ) -> None:
+        self._catalogue = catalogue
+        self._log = log
+        self._retention_s = retention_s
+        self._join_peers = join_peers
+        self._get_rank = get_rank
+        self._lost_records = False
+        self._checkpoint_seen = -1
+        self._checkpoint_seen_at = time.monotonic()
+        self.caught_up = False
+        self.read_at = float("-inf")
+        self.log_losses = 0
+
+    @property
+    def available(self) -> bool:
+        """Whether the log has answered lately."""
+        return time.monotonic() - self.read_at < 2.0
+
+    async def follow(self) -> None:
+        """Read the log until cancelled."""
+        while True:
+            try:
+                more = await self._read_page()
+            except RecordsTrimmedError as error:
+                more = await self._start_from_checkpoint(error.first_offset)
+            except LogUnavailableError as error:
+                _logger.debug("Log does not answer: {}", error)
+                if not self.caught_up:
+                    self.caught_up = await self._join_peers()
+                # spread, so that the log's return meets no stampede
+                await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
+                continue
+            if not more:
+                await asyncio.sleep(POLL_S)
+
+    async def write_checkpoints(self) -> None:
+        """Append a checkpoint whenever one is due, until cancelled."""
+        while True:
+            await asyncio.sleep(CHECKPOINT_CHECK_S)
+            if not self._is_checkpoint_due():
+                continue
+            await asyncio.sleep(self._get_rank() * 2 * CHECKPOINT_CHECK_S)
+            if not self._is_checkpoint_due():
+                continue
+            try:
+                await self._append_checkpoint()
+            except LogUnavailableError as error:
+                _logger.debug("Checkpoint not appended: {}", error)
+
+    async def _read_page(self) -> bool:
+        """Read and fold some records; returns whether there may be more at once."""
+        catalogue = self._catalogue
+        overlap = 1 if catalogue.last_digest else 0
+        start = catalogue.next_offset - overlap
+        try:
+            page = await self._log.read(CATALOGUE_STREAM, start)
+        except RecordsTrimmedError as error:
+            if not overlap or error.first_offset > catalogue.next_offset:
+                raise
+            # only the record read again is gone, so nothing was missed
+            catalogue.last_digest = ""
+            return True
+        self.read_at = time.monotonic()
+        if self._is_rewritten(page.end, page.records[:overlap]):
+            self._note_loss()
+            return True
+        for index, payload in enumerate(page.records):
+            if index < overlap:
+                continue
+            catalogue.apply(start + index, payload)
+        if catalogue.next_offset < page.end:
+            return True
+        if not self.caught_up:
+            _logger.info("Caught up at position {}.", catalogue.position)
+        self.caught_up = True
+        return False
+
+    def _is_rewritten(self, end: int, overlap: list[str]) -> bool:
+        if end < self._catalogue.next_offset:
+            return True
+        if not overlap:
+            return False
+        return digest_payload(overlap[0]) != self._catalogue.last_digest
+
+    def _note_loss(self) -> None:
+        self.log_losses += 1
+        self._lost_records = True
+        _logger.warning("Log lost records; it is read again, and refilled if need be.")
+        self._catalogue.restart_reading()
+        self._checkpoint_seen = -1
+
+    async def _start_from_checkpoint(self, first_offset: int) -> bool:
+        payloads = []
+        offset = first_offset
+        try:
+            while True:
+                page = await self._log.read(CATALOGUE_STREAM, offset)
+                payloads.extend(page.records)
+                offset += len(page.records)
+                if not page.records:
+                    break
+        except (LogUnavailableError, RecordsTrimmedError):
+            await asyncio.sleep(RETRY_S)
+            return True
+        snapshot = find_checkpoint(payloads, first_offset)
+        if snapshot is None:
+            _logger.warning("Log holds no usable checkpoint; peers are asked.")
+            self.caught_up = await self._join_peers() or self.caught_up
+            if self._catalogue.next_offset < first_offset:
+                await asyncio.sleep(RETRY_S)
+            return True
+        if not self._catalogue.adopt(snapshot):
+            self._catalogue.next_offset = snapshot.next_offset
+            self._catalogue.last_digest = snapshot.last_digest
+        return True
+
+    def _is_checkpoint_due(self) -> bool:
+        catalogue = self._catalogue
+        if catalogue.position == 0 or not self.available or not self.caught_up:
+            return False
+        if catalogue.checkpoint_offset != self._checkpoint_seen:
+            self._checkpoint_seen = catalogue.checkpoint_offset
+            self._checkpoint_seen_at = time.monotonic()
+            self._lost_records = False
+        if self._lost_records:
+            return True
+        if catalogue.next_offset - self._checkpoint_seen > CHECKPOINT_RECORDS:
+            return True
+        age_s = time.monotonic() - self._checkpoint_seen_at
+        return age_s > self._retention_s * CHECKPOINT_RETENTION_SHARE
+
+    async def _append_checkpoint(self) -> None:
+        parts = split_snapshot(secrets.token_hex(8), self._catalogue.take_snapshot())
+        for part in parts:
+            await self._log.append(CATALOGUE_STREAM, encode_record(part))
+        _logger.info("Checkpoint of {} parts appended.", len(parts))
--- /dev/null
+++ b/src/jasmineseam/programs/forwarding.py
@@ -0,0 +1,384 @@
+"""A request's way through the entry: receive, look up, admit, choose, attempt, judge, answer."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import time
+import typing as t
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from .. import invariants
+from ..exceptions import AttemptError
+from ..exceptions import AttemptLostError
+from ..exceptions import AttemptNotRunError
+from ..exceptions import InvariantError
+from ..exceptions import NotRunError
+from ..exceptions import UnknownOutcomeError
+from ..requests.inbound import DEADLINE_HEADER
+from ..requests.inbound import EXTRA_ATTEMPT_HEADER
+from ..requests.inbound import InboundRequest
+from ..requests.inbound import strip_headers
+from ..requests.key import KEY_HEADER
+from ..requests.outcome import OUTCOME_HEADER
+from ..requests.outcome import Answer
+from ..requests.outcome import Outcome
+from ..requests.outcome import build_refusal
+from ..requests.outcome import build_unknown
+from ..routing.choice import Choice
+from ..routing.pool import Pool
+from .attempts import SERVER_ERRORS
+from .attempts import OpenAnswer
+from .attempts import Sender
+from .attempts import end_tasks
+from .homes import Homes
+from .mirror import Mirror
+
+MAX_ATTEMPTS = 4
+KEYED_ANSWER_BYTES = 16 * 1024 * 1024
+STARTING_RETRY_AFTER_S = 1.0
+NO_SERVER_RETRY_AFTER_S = 1.0
+BODY_CHUNK_BYTES = 65_536
+NOT_ASKED_HOME = frozenset({"starting", "no-such-service"})
+
+
+class Forwarder:
+    """Serves the callers of one entry process.
+
+    :param mirror: the agent's state.
+    :param sender: sends attempts.
+    :param homes: decides on keyed requests.
+    :param body_timeout_s: the longest that a caller may take over a body, in seconds.
+    :param make_choice: replaces the choice of a server.
+    """
+
+    def __init__(
+        self,
+        *,
+        mirror: Mirror,
+        sender: Sender,
+        homes: Homes,
+        body_timeout_s: float,
+        make_choice: t.Callable[[], Choice] | None = None,
+    ) -> None:
+        self._mirror = mirror
+        self._sender = sender
+        self._homes = homes
+        self._body_timeout_s = body_timeout_s
+        self._make_choice = make_choice
+        self.pools: dict[str, Pool] = {}
+        self.closing = False
+        self.in_flight = 0
+        self.outcomes: collections.Counter[tuple[str, str]] = collections.Counter()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request of a caller."""
+        self.in_flight += 1
+        try:
+            inbound = await self._receive(request)
+            if inbound.key and not inbound.idempotent:
+                answer = await self._homes.run(inbound)
+            else:
+                answer = await self._run(inbound, request)
+        except NotRunError as error:
+            answer = self._refuse(request, error)
+        except UnknownOutcomeError as error:
+            answer = build_unknown(error)
+            self.outcomes["unknown", error.reason] += 1
+        except InvariantError:
+            answer = build_unknown(UnknownOutcomeError("invariant", 500))
+            self.outcomes["unknown", "invariant"] += 1
+        finally:
+            self.in_flight -= 1
+        if isinstance(answer, web.StreamResponse):
+            return answer
+        return self._respond(request, answer)
+
+    async def run_buffered(self, inbound: InboundRequest) -> Answer:
+        """Run a keyed request whose home is this process.
+
+        :raises NotRunError: it was not run.
+        :raises UnknownOutcomeError: it may have been run.
+        """
+        pool = self._get_pool(inbound.service)
+        await self._admit(pool, inbound)
+        began_at = time.monotonic()
+        try:
+            answer = await self._try_servers(pool, inbound, KEYED_ANSWER_BYTES)
+        finally:
+            pool.admission.leave(time.monotonic() - began_at)
+        if isinstance(answer, OpenAnswer):
+            answer.close()
+            raise UnknownOutcomeError("answer-too-large")
+        return answer
+
+    def complete(
+        self,
+        method: str,
+        path: str,
+        service: str,
+        headers: list[tuple[str, str]],
+        remaining_s: float,
+    ) -> InboundRequest:
+        """Look up a request's service, and put together what the catalogue says of it.
+
+        :raises NotRunError: if there is no such service here.
+        """
+        if not self._mirror.ready:
+            raise NotRunError("starting", 503, STARTING_RETRY_AFTER_S)
+        state = self._mirror.states.get(service)
+        if state is None or state.entry is None:
+            raise NotRunError("no-such-service", 404)
+        entry = state.entry
+        plain_path = path.partition("?")[0]
+        limit_s = entry.limits.deadline_ms / 1000
+        return InboundRequest(
+            entry=entry,
+            method=method,
+            path=path,
+            headers=headers,
+            body=b"",
+            deadline_at=time.monotonic() + min(limit_s, remaining_s),
+            idempotent=entry.is_idempotent(method, plain_path),
+            traffic_class=entry.find_traffic_class(method, plain_path),
+        )
+
+    def resize_pools(self) -> None:
+        """Take what changed in the catalogue, the servers or the number of entries."""
+        processes = self._mirror.entry_processes
+        for service, pool in list(self.pools.items()):
+            state = self._mirror.states.get(service)
+            if state is None or state.entry is None:
+                if pool.admission.in_flight == 0:
+                    del self.pools[service]
+                continue
+            pool.resize(state.entry, processes)
+
+    async def _receive(self, request: web.BaseRequest) -> InboundRequest:
+        headers = request.headers
+        path = request.raw_path
+        if not path.startswith("/"):
+            raise NotRunError("path-malformed", 400)
+        service = headers.get("Host", "").partition(":")[0].lower()
+        remaining_s = _parse_deadline(headers.get(DEADLINE_HEADER))
+        stripped = strip_headers(headers)
+        inbound = self.complete(request.method, path, service, stripped, remaining_s)
+        inbound.key = headers.get(KEY_HEADER, "")
+        inbound.extra = EXTRA_ATTEMPT_HEADER in headers
+        if request.body_exists:
+            inbound.body = await self._read_body(request, inbound.entry.limits.body_bytes)
+        return inbound
+
+    async def _read_body(self, request: web.BaseRequest, limit: int) -> bytes:
+        length = request.content_length
+        if length is not None and length > limit:
+            raise NotRunError("body-too-large", 413)
+        chunks = []
+        size = 0
+        try:
+            async with asyncio.timeout(self._body_timeout_s):
+                while chunk := await request.content.read(BODY_CHUNK_BYTES):
+                    chunks.append(chunk)
+                    size += len(chunk)
+                    if size > limit:
+                        raise NotRunError("body-too-large", 413)
+        except TimeoutError as error:
+            raise NotRunError("body-timeout", 408) from error
+        except (OSError, ValueError, web.HTTPException) as error:
+            raise NotRunError("body-malformed", 400) from error
+        return b"".join(chunks)
+
+    async def _run(
+        self, inbound: InboundRequest, request: web.BaseRequest
+    ) -> Answer | web.StreamResponse:
+        pool = self._get_pool(inbound.service)
+        await self._admit(pool, inbound)
+        began_at = time.monotonic()
+        try:
+            answer = await self._try_servers(pool, inbound, inbound.entry.limits.buffer_bytes)
+            if isinstance(answer, OpenAnswer):
+                return await self._stream(request, answer)
+            return answer
+        finally:
+            pool.admission.leave(time.monotonic() - began_at)
+
+    def _get_pool(self, service: str) -> Pool:
+        pool = self.pools.get(service)
+        if pool is not None:
+            return pool
+        entry = self._mirror.states[service].entry
+        choose = self._make_choice() if self._make_choice else None
+        pool = Pool(entry=entry, servers=self._mirror.servers, clock=time.monotonic, choose=choose)
+        pool.resize(entry, self._mirror.entry_processes)
+        self.pools[service] = pool
+        return pool
+
+    async def _admit(self, pool: Pool, inbound: InboundRequest) -> None:
+        if pool.admission.try_enter():
+            return
+        await pool.admission.wait(inbound.traffic_class, inbound.deadline_at)
+
+    async def _try_servers(
+        self, pool: Pool, inbound: InboundRequest, buffer_bytes: int
+    ) -> Answer | OpenAnswer:
+        """Attempt until there is an answer, or nothing more may be attempted."""
+        pool.attempts.earn()
+        excluded: set[str] = set()
+        lost = None
+        last_answer = None
+        for attempt in range(MAX_ATTEMPTS):
+            backend = pool.pick(excluded)
+            if backend is None:
+                break
+            excluded.add(backend.server.server_id)
+            invariants.check(
+                inbound.idempotent or (lost is None and last_answer is None),
+                "non-idempotent-attempted-again",
+                inbound.service,
+            )
+            try:
+                answer = await self._attempt_hedged(
+                    pool, backend, inbound, excluded, buffer_bytes, extra=attempt > 0
+                )
+            except AttemptNotRunError as error:
+                if not self._may_retry(pool, inbound, error):
+                    break
+                continue
+            except AttemptLostError as error:
+                lost = error
+                if not inbound.idempotent or not self._may_retry(pool, inbound, error):
+                    break
+                continue
+            status = answer.status if isinstance(answer, Answer) else answer.head.status
+            if status not in SERVER_ERRORS or not inbound.idempotent:
+                return answer
+            if isinstance(answer, OpenAnswer) or not self._may_retry(pool, inbound, None):
+                return answer
+            last_answer = answer
+        if last_answer is not None:
+            return last_answer
+        return self._give_up(pool, inbound, lost)
+
+    def _may_retry(self, pool: Pool, inbound: InboundRequest, error: AttemptError | None) -> bool:
+        if inbound.deadline_at <= time.monotonic():
+            return False
+        if error is not None and error.reason in ("draining", "connect"):
+            # bounded by the number of servers that leave or die, so no storm comes of it
+            return True
+        return not inbound.extra and pool.attempts.take_retry()
+
+    def _give_up(
+        self, pool: Pool, inbound: InboundRequest, lost: AttemptLostError | None
+    ) -> t.NoReturn:
+        if lost is not None:
+            status = 504 if lost.reason == "deadline" else 502
+            raise UnknownOutcomeError(lost.reason, status)
+        if inbound.deadline_at <= time.monotonic():
+            raise NotRunError("deadline", 504)
+        wait_s = max(NO_SERVER_RETRY_AFTER_S, pool.admission.estimate_wait_s())
+        raise NotRunError("no-server", 503, wait_s)
+
+    async def _attempt_hedged(
+        self,
+        pool: Pool,
+        backend: t.Any,
+        inbound: InboundRequest,
+        excluded: set[str],
+        buffer_bytes: int,
+        *,
+        extra: bool,
+    ) -> Answer | OpenAnswer:
+        attempt = self._sender.attempt(
+            pool, backend, inbound, extra=extra, buffer_bytes=buffer_bytes
+        )
+        hedged = inbound.idempotent and inbound.entry.limits.hedge
+        if not hedged or extra or inbound.extra or pool.hedge_after.value_s == 0.0:
+            return await attempt
+        first = asyncio.ensure_future(attempt)
+        tasks = {first}
+        try:
+            await asyncio.wait(tasks, timeout=pool.get_hedge_delay_s())
+            if not first.done() and pool.attempts.take_hedge():
+                other = pool.pick(excluded)
+                if other is not None:
+                    excluded.add(other.server.server_id)
+                    hedge = self._sender.attempt(
+                        pool, other, inbound, extra=True, buffer_bytes=buffer_bytes
+                    )
+                    tasks.add(asyncio.ensure_future(hedge))
+            return await _take_first(tasks, first)
+        finally:
+            unfinished = {task for task in tasks if not task.done()}
+            if unfinished:
+                await end_tasks(unfinished)
+
+    async def _stream(self, request: web.BaseRequest, answer: OpenAnswer) -> web.StreamResponse:
+        headers = CIMultiDict(answer.head.headers)
+        headers[OUTCOME_HEADER] = Outcome.ANSWERED.value
+        response = web.StreamResponse(status=answer.head.status, headers=headers)
+        length = answer.response.content_length
+        if length is not None:
+            response.content_length = length
+        try:
+            await response.prepare(request)
+            async for chunk in answer.response.content.iter_any():
+                await response.write(chunk)
+            await response.write_eof()
+        except Exception:
+            # half an answer must not look whole
+            self.outcomes["unknown", "stream-cut"] += 1
+            if request.transport is not None:
+                request.transport.abort()
+        else:
+            self.outcomes["answered", "streamed"] += 1
+        finally:
+            answer.close()
+        return response
+
+    def _refuse(self, request: web.BaseRequest, error: NotRunError) -> Answer:
+        keyed = KEY_HEADER in request.headers
+        if keyed and error.reason in NOT_ASKED_HOME:
+            # another sending of the same key may have run, and its home was not asked
+            self.outcomes["unknown", error.reason] += 1
+            unknown = UnknownOutcomeError(error.reason, error.status, STARTING_RETRY_AFTER_S)
+            return build_unknown(unknown)
+        self.outcomes["not-run", error.reason] += 1
+        return build_refusal(error)
+
+    def _respond(self, request: web.BaseRequest, answer: Answer) -> web.Response:
+        headers = CIMultiDict(answer.headers)
+        headers[OUTCOME_HEADER] = answer.outcome.value
+        if answer.outcome is Outcome.ANSWERED:
+            self.outcomes["answered", "whole"] += 1
+        body = answer.body if request.method != "HEAD" else None
+        response = web.Response(status=answer.status, headers=headers, body=body)
+        if self.closing or answer.status in (400, 408, 413):
+            response.force_close()
+        return response
+
+
+async def _take_first(tasks: set[asyncio.Task], first: asyncio.Task) -> Answer | OpenAnswer:
+    """Return the first answer that is no server error, else the end of the first attempt."""
+    pending = set(tasks)
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            if task.exception() is not None:
+                continue
+            answer = task.result()
+            status = answer.status if isinstance(answer, Answer) else answer.head.status
+            if status in SERVER_ERRORS and pending:
+                continue
+            return answer
+    return first.result()
+
+
+def _parse_deadline(text: str | None) -> float:
+    if text is None:
+        return float("inf")
+    try:
+        return max(0.0, float(text) / 1000)
+    except ValueError as error:
+        raise NotRunError("deadline-malformed", 400) from error
--- /dev/null
+++ b/src/jasmineseam/programs/prober.py
@@ -0,0 +1,203 @@
+"""Spending the measuring budget: the seat's claim, and probes of servers not heard from."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+import typing as t
+
+import aiohttp
+import logbook
+import msgspec
+
+from ..catalogue.entry import CatalogueEntry
+from ..exceptions import PlatformError
+from ..exceptions import RecordsTrimmedError
+from ..measuring.budget import ProbeBudget
+from ..measuring.budget import compute_share
+from ..measuring.reports import LOAD_HEADER
+from ..measuring.reports import STATE_HEADER
+from ..measuring.reports import parse_load
+from ..measuring.seat import Seat
+from ..measuring.seat import SeatClaim
+from ..membership.servers import Server
+from ..membership.servers import Servers
+from ..platform.log import SEATS_STREAM
+from ..platform.log import LogClient
+
+SEAT_READ_S = 1.5
+PROBE_CHECK_S = 0.1
+# a server heard of within this time tells nothing new by a probe
+FRESH_S = 1.0
+RESULTS_KEPT = 200
+_logger = logbook.Logger("measuring")
+
+
+def read_suspend_clock() -> float:
+    """Return seconds of a clock that goes on while the process or the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class ProbeResult(msgspec.Struct, kw_only=True):
+    """What a probe told."""
+
+    server_id: str
+    in_flight: int
+    slots: int
+    state: str
+
+
+class Prober:
+    """Sends this seat's probes.
+
+    :param seat_number: the VM's seat.
+    :param seats: how many seats share the budgets.
+    :param holder: the agent's incarnation.
+    :param list_entries: returns the catalogue's entries.
+    """
+
+    def __init__(
+        self,
+        *,
+        seat_number: int,
+        seats: int,
+        holder: str,
+        log: LogClient,
+        session: aiohttp.ClientSession,
+        servers: Servers,
+        list_entries: t.Callable[[], list[CatalogueEntry]],
+    ) -> None:
+        self.seat = Seat(seat=seat_number, holder=holder, clock=read_suspend_clock)
+        self._seats = seats
+        self._log = log
+        self._session = session
+        self._servers = servers
+        self._list_entries = list_entries
+        self._budgets: dict[str, ProbeBudget] = {}
+        self._heard_at: dict[str, float] = {}
+        self._ejected: set[str] = set()
+        self._offset = 0
+        self._newest = ""
+        self.results: list[ProbeResult] = []
+        self.results_version = 0
+        self.stopped = False
+
+    def note_observed(self, server_ids: list[str], ejected: list[str]) -> None:
+        """Learn from an entry process which servers have answered, and which are ejected."""
+        now = read_suspend_clock()
+        for server_id in server_ids:
+            self._heard_at[server_id] = now
+        self._ejected = set(ejected)
+
+    def count_sent(self) -> dict[str, int]:
+        """Return the probes sent, by service."""
+        return {service: budget.sent for service, budget in self._budgets.items()}
+
+    async def keep_seat(self) -> None:
+        """Claim the seat once, then renew it by reading the log, until cancelled."""
+        while True:
+            with contextlib.suppress(PlatformError):
+                await self._renew()
+            await asyncio.sleep(SEAT_READ_S)
+
+    async def probe(self) -> None:
+        """Send probes as the budgets allow, until cancelled."""
+        while not self.stopped:
+            await asyncio.sleep(PROBE_CHECK_S)
+            if not self.seat.is_held():
+                continue
+            for entry in self._list_entries():
+                await self._probe_service(entry)
+
+    async def _renew(self) -> None:
+        began_at = read_suspend_clock()
+        while True:
+            try:
+                page = await self._log.read(SEATS_STREAM, self._offset)
+            except RecordsTrimmedError as error:
+                self._offset = error.first_offset
+                continue
+            if page.end < self._offset:
+                self._offset = 0
+                continue
+            for payload in page.records:
+                self._take_claim(payload)
+            self._offset += len(page.records)
+            if self._offset >= page.end:
+                break
+        if self.seat.claimed or self._newest == self.seat.holder:
+            self.seat.note_read(self._newest, began_at)
+            return
+        claim = SeatClaim(seat=self.seat.seat, holder=self.seat.holder)
+        await self._log.append(SEATS_STREAM, msgspec.json.encode(claim).decode())
+        self.seat.note_claimed()
+
+    def _take_claim(self, payload: str) -> None:
+        try:
+            claim = msgspec.json.decode(payload, type=SeatClaim)
+        except msgspec.MsgspecError:
+            return
+        if claim.seat == self.seat.seat:
+            self._newest = claim.holder
+
+    async def _probe_service(self, entry: CatalogueEntry) -> None:
+        measuring = entry.measuring
+        share = compute_share(measuring.probes, self.seat.seat, self._seats)
+        budget = self._budgets.get(entry.service)
+        if budget is None:
+            budget = ProbeBudget(clock=read_suspend_clock, share=0, window_s=measuring.window_s)
+            self._budgets[entry.service] = budget
+        budget.change(share, measuring.window_s)
+        if share == 0:
+            return
+        server = self._pick(entry.service)
+        # right before sending: a process that was paused here must look again
+        if server is None or not self.seat.is_held() or not budget.start():
+            return
+        try:
+            await self._send(entry, server)
+        finally:
+            budget.finish()
+
+    def _pick(self, service: str) -> Server | None:
+        usable = self._servers.list_usable(service)
+        now = read_suspend_clock()
+        oldest = None
+        oldest_at = now - FRESH_S
+        for server in usable:
+            heard_at = self._heard_at.get(server.server_id, float("-inf"))
+            if server.server_id in self._ejected:
+                heard_at -= FRESH_S
+            if heard_at >= oldest_at:
+                continue
+            oldest = server
+            oldest_at = heard_at
+        return oldest
+
+    async def _send(self, entry: CatalogueEntry, server: Server) -> None:
+        timeout_s = entry.measuring.slot_ms / 1000
+        self._heard_at[server.server_id] = read_suspend_clock()
+        headers = {"Host": entry.service, "Jasmineseam-Deadline-Ms": str(entry.measuring.slot_ms)}
+        try:
+            async with self._session.get(
+                f"http://{server.address}{entry.measuring.path}",
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=timeout_s * 2),
+            ) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            _logger.debug("Probe of {} failed: {!r}", server.server_id, error)
+            return
+        report = parse_load(response.headers.get(LOAD_HEADER))
+        if report is None:
+            return
+        result = ProbeResult(
+            server_id=server.server_id,
+            in_flight=report.in_flight,
+            slots=report.slots,
+            state=response.headers.get(STATE_HEADER, ""),
+        )
+        self.results.append(result)
+        del self.results[:-RESULTS_KEPT]
+        self.results_version += 1
--- /dev/null
+++ b/src/jasmineseam/requests/inbound.py
@@ -0,0 +1,84 @@
+"""A caller's request as the entry has received it."""
+
+from __future__ import annotations
+
+import msgspec
+import xxhash
+
+from ..catalogue.entry import CatalogueEntry
+
+DEADLINE_HEADER = "Jasmineseam-Deadline-Ms"
+ATTEMPT_HEADER = "Jasmineseam-Attempt"
+EXTRA_ATTEMPT_HEADER = "Jasmineseam-Extra-Attempt"
+REFUSAL_HEADER = "Backend-Refusal"
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "jasmineseam-attempt",
+        "jasmineseam-deadline-ms",
+        "jasmineseam-extra-attempt",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class InboundRequest(msgspec.Struct, kw_only=True):
+    """One request, received whole.
+
+    :param path: path and query as the caller sent them.
+    :param headers: without those that are for one connection only.
+    :param deadline_at: on the process's monotonic clock, in seconds.
+    :param key: the idempotency key as sent, empty if none.
+    :param extra: whether it is itself a retry or hedge further up, so that it gets none here.
+    """
+
+    entry: CatalogueEntry
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    deadline_at: float
+    idempotent: bool
+    traffic_class: str
+    key: str = ""
+    extra: bool = False
+
+    @property
+    def service(self) -> str:
+        """The service's name."""
+        return self.entry.service
+
+    def compute_fingerprint(self) -> str:
+        """Digest what makes two requests the same one."""
+        digest = xxhash.xxh3_128()
+        for part in (self.service, self.method, self.path):
+            digest.update(part.encode())
+            digest.update(b"\0")
+        digest.update(self.body)
+        return digest.hexdigest()
+
+
+def strip_headers(headers) -> list[tuple[str, str]]:
+    """Return an HTTP message's headers without those for one connection only.
+
+    :param headers: a multi-dict of headers.
+    """
+    named = headers.get("Connection", "")
+    if named in ("", "keep-alive", "close", "Keep-Alive"):
+        return _keep(headers, HOP_HEADERS)
+    dropped = HOP_HEADERS | {name.strip().lower() for name in named.split(",")}
+    return _keep(headers, dropped)
+
+
+def _keep(headers, dropped) -> list[tuple[str, str]]:
+    # aiohttp's own string type has no codec
+    return [(str(name), value) for name, value in headers.items() if name.lower() not in dropped]
--- /dev/null
+++ b/src/jasmineseam/requests/key.py
@@ -0,0 +1,48 @@
+"""Idempotency keys: ``<home incarnation>-<issue period>.<the caller's own id>``."""
+
+from __future__ import annotations
+
+import re
+
+import msgspec
+
+from ..exceptions import NotRunError
+
+KEY_HEADER = "Idempotency-Key"
+KEY_PATTERN = re.compile(r"^([0-9a-f]{16})-([0-9]{1,9})\.([\x21-\x7e]{1,128})$")
+
+
+class Key(msgspec.Struct, kw_only=True, frozen=True):
+    """A caller's idempotency key.
+
+    :param home: incarnation of the entry process whose ledger decides.
+    :param period: the issue period, counted on the home's own clock.
+    """
+
+    home: str
+    period: int
+    own_id: str
+
+
+def build_prefix(home: str, period: int) -> str:
+    """Return what a caller puts before its own id and a dot."""
+    return f"{home}-{period}"
+
+
+def parse_key(text: str) -> Key:
+    """Parse a key.
+
+    :raises NotRunError: if the key has no valid prefix.
+
+    >>> parse_key("00000000000000ff-7.order-1").period
+    7
+    """
+    match = KEY_PATTERN.match(text)
+    if match is None:
+        raise NotRunError("idempotency-key-malformed", 400)
+    return Key(home=match[1], period=int(match[2]), own_id=match[3])
+
+
+def format_key(key: Key) -> str:
+    """Return the key as it stands in the header."""
+    return f"{build_prefix(key.home, key.period)}.{key.own_id}"
--- /dev/null
+++ b/src/jasmineseam/requests/outcome.py
@@ -0,0 +1,53 @@
+"""The final answer to a request, and the header that names its outcome."""
+
+from __future__ import annotations
+
+import enum
+import math
+
+import msgspec
+
+from ..exceptions import NotRunError
+from ..exceptions import UnknownOutcomeError
+
+OUTCOME_HEADER = "Jasmineseam-Outcome"
+PROBLEM_TYPE = "application/problem+json"
+
+
+class Outcome(enum.Enum):
+    """What is known of a request's run."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Answer(msgspec.Struct, kw_only=True):
+    """A whole answer, ready to be sent to the caller.
+
+    :param headers: names and values in their order.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    outcome: Outcome = Outcome.ANSWERED
+
+
+def build_refusal(error: NotRunError) -> Answer:
+    """Build the final answer to a request that was not run."""
+    return _build_problem(error, Outcome.NOT_RUN)
+
+
+def build_unknown(error: UnknownOutcomeError) -> Answer:
+    """Build the final answer to a request that may have been run."""
+    return _build_problem(error, Outcome.UNKNOWN)
+
+
+def _build_problem(error: NotRunError | UnknownOutcomeError, outcome: Outcome) -> Answer:
+    problem = {"title": error.reason, "status": error.status, "outcome": outcome.value}
+    headers = [("Content-Type", PROBLEM_TYPE)]
+    if error.retry_after_s is not None:
+        headers.append(("Retry-After", str(max(1, math.ceil(error.retry_after_s)))))
+    body = msgspec.json.encode(problem)
+    return Answer(status=error.status, headers=headers, body=body, outcome=outcome)
--- /dev/null
+++ b/src/jasmineseam/routing/backends.py
@@ -0,0 +1,94 @@
+"""What one entry process knows of one backend server from its own requests to it."""
+
+from __future__ import annotations
+
+from ..measuring.reports import LoadReport
+from ..membership.servers import Server
+
+RAMP_S = 4.0
+RAMP_FLOOR = 0.1
+COLD_WEIGHT = 0.3
+LATENCY_GAIN = 0.1
+
+
+class Backend:
+    """A server as the routing functions see it.
+
+    :param server: the listed server.
+    :param now: the time at which it became known, in seconds.
+    :param warm: whether it was there when this process began, so that it needs no ramp.
+    """
+
+    __slots__ = (
+        "_next",
+        "cold",
+        "ejected_until",
+        "ejections",
+        "failures",
+        "known_at",
+        "last_used_at",
+        "latency_s",
+        "others",
+        "reported_at",
+        "requests",
+        "running",
+        "server",
+        "slots",
+        "trial",
+    )
+
+    def __init__(self, *, server: Server, now: float, warm: bool = False) -> None:
+        self.server = server
+        self.known_at = now - RAMP_S if warm else now
+        # start times of this process's own requests, oldest first
+        self.running: dict[int, float] = {}
+        self._next = 0
+        self.latency_s = 0.0
+        self.others = 0
+        self.reported_at = float("-inf")
+        self.slots = 0
+        self.cold = False
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        self.trial = False
+        self.requests = 0
+        self.last_used_at = now
+
+    @property
+    def in_flight(self) -> int:
+        """Requests of this process that the server holds."""
+        return len(self.running)
+
+    def begin(self, now: float) -> int:
+        """Note a request sent; returns the token to end it with."""
+        self._next += 1
+        self.running[self._next] = now
+        self.requests += 1
+        self.last_used_at = now
+        return self._next
+
+    def end(self, token: int, now: float) -> float:
+        """Note that a request has ended; returns how long it took, in seconds."""
+        return now - self.running.pop(token)
+
+    def note_latency(self, latency_s: float) -> None:
+        """Learn from one whole answer's latency."""
+        if self.latency_s == 0.0:
+            self.latency_s = latency_s
+            return
+        self.latency_s += LATENCY_GAIN * (latency_s - self.latency_s)
+
+    def note_report(self, report: LoadReport, now: float) -> None:
+        """Learn from a load report that came with an answer or a probe."""
+        self.others = max(0, report.in_flight - len(self.running))
+        self.slots = report.slots
+        self.reported_at = now
+
+    def get_weight(self, now: float) -> float:
+        """Return the share of a full server's requests that this one should get, 0 to 1."""
+        weight = COLD_WEIGHT if self.cold else 1.0
+        age_s = now - self.known_at
+        if age_s >= RAMP_S:
+            return weight
+        return weight * max(RAMP_FLOOR, age_s / RAMP_S)
--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,93 @@
+"""``python -m standins platform | servers``: runs stand-ins until they are killed.
+
+Prints one line of JSON with the addresses once it listens.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import defopt
+from aiohttp import web
+
+from .platform import Platform
+from .server import Oracle
+from .server import Profile
+from .server import ServerGroup
+from .server import StandInServer
+
+
+async def _listen(handler, host: str) -> str:
+    runner = web.ServerRunner(
+        web.Server(handler, handler_cancellation=True, access_log=None), access_log=None
+    )
+    await runner.setup()
+    site = web.TCPSite(runner, host, 0, backlog=1024)
+    await site.start()
+    port = runner.addresses[0][1]
+    return f"{host}:{port}"
+
+
+async def _run_platform(host: str, retention_s: float, seed: int) -> None:
+    platform = Platform(retention_s=retention_s, seed=seed)
+    address = await _listen(platform.answer, host)
+    print(json.dumps({"address": address}), flush=True)
+    await asyncio.Event().wait()
+
+
+async def _run_servers(host: str, names: list[str], profile: Profile, seed: int) -> None:
+    servers = []
+    addresses = {}
+    for index, name in enumerate(names):
+        server = StandInServer(server_id=name, profile=profile, seed=seed + index)
+        servers.append(server)
+        addresses[name] = await _listen(server.answer, host)
+    group = ServerGroup(servers=servers)
+    admin = await _listen(group.administer, host)
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        lambda: Oracle(servers=servers), local_addr=(host, 0)
+    )
+    port = transport.get_extra_info("sockname")[1]
+    print(
+        json.dumps({"servers": addresses, "admin": admin, "oracle": f"{host}:{port}"}), flush=True
+    )
+    await asyncio.gather(*(server.make_noise() for server in servers))
+    await asyncio.Event().wait()
+
+
+def platform(host: str, *, retention_s: float = 3600.0, seed: int = 1) -> None:
+    """Run the platform's log and VM list.
+
+    :param host: the address to bind to.
+    :param retention_s: how long the log keeps records.
+    :param seed: of the lost answers.
+    """
+    asyncio.run(_run_platform(host, retention_s, seed))
+
+
+def servers(
+    host: str,
+    names: list[str],
+    *,
+    mean_s: float = 0.01,
+    noise_period_s: float = 0.0,
+    probe_s: float = 0.006,
+    seed: int = 1,
+) -> None:
+    """Run backend servers.
+
+    :param host: the address to bind to.
+    :param names: the servers' ids.
+    :param mean_s: mean service time.
+    :param noise_period_s: mean time between slowdowns of one server, 0 for none.
+    :param probe_s: slot time that a probe takes.
+    :param seed: of all that is drawn.
+    """
+    profile = Profile(mean_s=mean_s, noise_period_s=noise_period_s, probe_s=probe_s)
+    asyncio.run(_run_servers(host, names, profile, seed))
+
+
+if __name__ == "__main__":
+    defopt.run([platform, servers], cli_options="has_default", short={})
