--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import json
 import os
@@ -83,7 +84,7 @@
         self.platform = ""
 
     def __enter__(self) -> Cluster:
-        platform = self._start_standin(
+        platform = self.start_standin(
             "platform",
             f"{self._network}.250",
             "--retention-s",
@@ -107,12 +108,30 @@
                 process.stdout.close()
         self._directory.cleanup()
 
-    def start_servers(self, service: str, names: list[str], *options: str) -> Servers:
-        """Start one process of servers and list them."""
+    @property
+    def journal_file(self) -> pathlib.Path:
+        """Where all servers write a line for each run."""
+        return self.directory / "runs.journal"
+
+    def start_servers(
+        self, service: str, names: list[str], *options: str, replaced: Servers | None = None
+    ) -> Servers:
+        """Start one process of servers and list them.
+
+        :param replaced: a killed one, whose addresses the new one takes.
+        """
         host = f"{self._network}.{200 + len(self.servers)}"
-        ready = self._start_standin("servers", host, "--names", *names, *options)
+        arguments = ["--names", *names, "--journal", str(self.journal_file), *options]
+        if replaced is not None:
+            host = next(iter(replaced.addresses.values())).partition(":")[0]
+            ports = [one.partition(":")[2] for one in replaced.addresses.values()]
+            arguments += ["--ports", *ports]
+            self.servers.remove(replaced)
+        ready = self.start_standin("servers", host, *arguments)
         servers = Servers(service=service, process=self._processes[-1], ready=ready)
         self.servers.append(servers)
+        if replaced is not None:
+            return servers
         for index, (name, address) in enumerate(servers.addresses.items()):
             self.listed[name] = {
                 "vm_id": name,
@@ -256,6 +275,17 @@
         code, output = self.run_ctl(vm, "dump", "--address", address)
         return json.loads(output) if code == 0 else {}
 
+    def count_runs(self) -> collections.Counter[str]:
+        """Return how often each request was run, by servers that were killed since, too."""
+        if not self.journal_file.exists():
+            return collections.Counter()
+        return collections.Counter(self.journal_file.read_text().split())
+
+    def set_behaviour(self, group: Servers, **changes: t.Any) -> None:
+        """Change how servers behave; ``servers=[...]`` names them, or all of the process."""
+        if group.process.poll() is None:
+            call(group.admin, "/behaviour", changes)
+
     def read_journals(self) -> dict[str, dict[str, t.Any]]:
         """Return the journals of all servers that still run."""
         journals = {}
@@ -271,7 +301,8 @@
             parts.append(f"--- {path.name}\n{path.read_text(errors='replace')}")
         return "\n".join(parts)
 
-    def _start_standin(self, *arguments: str) -> dict[str, t.Any]:
+    def start_standin(self, *arguments: str) -> dict[str, t.Any]:
+        """Start a stand-in and return the addresses that it prints."""
         process = subprocess.Popen(
             [sys.executable, "-m", "standins", *arguments],
             stdout=subprocess.PIPE,
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -7,10 +7,14 @@
 
 import asyncio
 import json
+import os
 
+import aiohttp
 import defopt
 from aiohttp import web
 
+from .plain import answer_at_once
+from .plain import make_pass_through
 from .platform import Platform
 from .server import Oracle
 from .server import Profile
@@ -18,12 +22,12 @@
 from .server import StandInServer
 
 
-async def _listen(handler, host: str) -> str:
+async def _listen(handler, host: str, port: int = 0) -> str:
     runner = web.ServerRunner(
         web.Server(handler, handler_cancellation=True, access_log=None), access_log=None
     )
     await runner.setup()
-    site = web.TCPSite(runner, host, 0, backlog=1024)
+    site = web.TCPSite(runner, host, port, backlog=1024)
     await site.start()
     port = runner.addresses[0][1]
     return f"{host}:{port}"
@@ -36,13 +40,18 @@
     await asyncio.Event().wait()
 
 
-async def _run_servers(host: str, names: list[str], profile: Profile, seed: int) -> None:
+async def _run_servers(
+    host: str, names: list[str], profile: Profile, seed: int, journal_file: str, ports: list[int]
+) -> None:
     servers = []
+    flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+    journal = os.open(journal_file, flags) if journal_file else None
     addresses = {}
     for index, name in enumerate(names):
-        server = StandInServer(server_id=name, profile=profile, seed=seed + index)
+        server = StandInServer(server_id=name, profile=profile, seed=seed + index, journal=journal)
         servers.append(server)
-        addresses[name] = await _listen(server.answer, host)
+        port = ports[index] if ports else 0
+        addresses[name] = await _listen(server.answer, host, port)
     group = ServerGroup(servers=servers)
     admin = await _listen(group.administer, host)
     loop = asyncio.get_running_loop()
@@ -57,6 +66,25 @@
     await asyncio.Event().wait()
 
 
+async def _run_plain(host: str, target: str) -> None:
+    handler = answer_at_once
+    if target:
+        session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        handler = make_pass_through(session, target)
+    address = await _listen(handler, host)
+    print(json.dumps({"address": address}), flush=True)
+    await asyncio.Event().wait()
+
+
+def plain(host: str, *, target: str = "") -> None:
+    """Run a server that answers at once, or a bare proxy.
+
+    :param host: the address to bind to.
+    :param target: the server behind the proxy, ``ip:port``.
+    """
+    asyncio.run(_run_plain(host, target))
+
+
 def platform(host: str, *, retention_s: float = 3600.0, seed: int = 1) -> None:
     """Run the platform's log and VM list.
 
@@ -74,6 +102,8 @@
     mean_s: float = 0.01,
     noise_period_s: float = 0.0,
     probe_s: float = 0.006,
+    journal: str = "",
+    ports: list[int] = (),
     seed: int = 1,
 ) -> None:
     """Run backend servers.
@@ -83,11 +113,13 @@
     :param mean_s: mean service time.
     :param noise_period_s: mean time between slowdowns of one server, 0 for none.
     :param probe_s: slot time that a probe takes.
+    :param journal: a file that gets a line for each run.
+    :param ports: the servers' ports, in their order; the kernel's choice if left out.
     :param seed: of all that is drawn.
     """
     profile = Profile(mean_s=mean_s, noise_period_s=noise_period_s, probe_s=probe_s)
-    asyncio.run(_run_servers(host, names, profile, seed))
+    asyncio.run(_run_servers(host, names, profile, seed, journal, list(ports)))
 
 
 if __name__ == "__main__":
-    defopt.run([platform, servers], cli_options="has_default", short={})
+    defopt.run([plain, platform, servers], cli_options="has_default", short={})
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -63,7 +63,7 @@
         self._entries: list[dict[str, str]] = []
         self._fresh_until = 0.0
         self._numbers = itertools.count(1)
-        self._name = f"c{seed}"
+        self.name = f"c{seed}"
         self.tally = Tally()
 
     async def look_up(self, service: str, path: str = "/sizes/1") -> bool:
@@ -71,7 +71,7 @@
         began_at = time.monotonic()
         number = next(self._numbers)
         separator = "&" if "?" in path else "?"
-        target = f"{path}{separator}from={self._name}-{number}"
+        target = f"{path}{separator}from={self.name}-{number}"
         result = "no-entry"
         for attempt in range(TRIES):
             entry = await self._choose(attempt)
@@ -88,7 +88,7 @@
 
     async def order(self, service: str, path: str = "/orders") -> OrderRecord:
         """Send one non-idempotent request under a key, until its outcome is known."""
-        run_id = f"{self._name}-{next(self._numbers)}"
+        run_id = f"{self.name}-{next(self._numbers)}"
         record = OrderRecord(run_id=run_id)
         self.tally.orders.append(record)
         body = f'{{"order": "{run_id}"}}'.encode()
@@ -109,6 +109,33 @@
         record.outcome = "unknown"
         return record
 
+    async def order_twice(self, service: str, path: str = "/orders") -> OrderRecord:
+        """Send one order at two entries at once, and once more when both have ended."""
+        run_id = f"{self.name}-{next(self._numbers)}"
+        record = OrderRecord(run_id=run_id)
+        self.tally.orders.append(record)
+        body = f'{{"order": "{run_id}"}}'.encode()
+        entry = await self._choose(0)
+        if entry is None:
+            return record
+        headers = {
+            "Request-Id": run_id,
+            "Idempotency-Key": f"{entry['key_prefix']}.{run_id}",
+        }
+        others = [self._random.choice(self._entries) for _ in range(2)]
+        addresses = [entry["address"], others[0]["address"]]
+        results = await asyncio.gather(
+            *(self._send("POST", one, service, path, body, headers) for one in addresses)
+        )
+        results.append(
+            await self._send("POST", others[1]["address"], service, path, body, headers)
+        )
+        record.trace = [f"{result}" for result in results]
+        for outcome in ("answered", "not-run"):
+            if outcome in results:
+                record.outcome = outcome
+        return record
+
     async def _choose(self, attempt: int) -> dict[str, str] | None:
         if attempt or time.monotonic() >= self._fresh_until:
             await self._ask_locator()
--- a/standins/server.py
+++ b/standins/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import os
 import random
 import time
 import weakref
@@ -60,8 +61,12 @@
 class StandInServer:
     """One server."""
 
-    def __init__(self, *, server_id: str, profile: Profile, seed: int) -> None:
+    def __init__(
+        self, *, server_id: str, profile: Profile, seed: int, journal: int | None = None
+    ) -> None:
         self.server_id = server_id
+        # a file descriptor: what was run must outlive a kill
+        self._journal = journal
         self.profile = profile
         self.behaviour = Behaviour()
         self.random = random.Random(seed)
@@ -101,6 +106,8 @@
         run_id = request.headers.get("Request-Id", "")
         if run_id:
             self.runs[run_id] += 1
+            if self._journal is not None:
+                os.write(self._journal, f"{run_id}\n".encode())
         work_s = self._draw_work_s()
         if request.transport not in self._connections:
             self._connections.add(request.transport)
@@ -213,7 +220,6 @@
         now = time.monotonic()
         for server in self.servers.values():
             journal[server.server_id] = {
-                "runs": dict(server.runs),
                 "requests": server.requests,
                 "idle_s": now - server.last_request_at,
                 "held": server.held,
