--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -26,15 +26,23 @@
 class Vm:
     """One entry VM: its settings and its running programs."""
 
-    def __init__(self, *, vm_id: str, address: str, seat: int, failure_domain: str) -> None:
+    def __init__(
+        self, *, vm_id: str, address: str, advertised: str, seat: int, failure_domain: str
+    ) -> None:
         self.vm_id = vm_id
         self.address = address
+        self.advertised = advertised
         self.seat = seat
         self.failure_domain = failure_domain
         self.settings: dict[str, t.Any] = {}
         self.settings_file = pathlib.Path()
         self.programs: dict[str, subprocess.Popen] = {}
 
+    @property
+    def listed_address(self) -> str:
+        """The agent's control address as the other VMs use it."""
+        return f"{self.advertised}:{self.settings['agent']['control_port']}"
+
     @property
     def agent_address(self) -> str:
         """The agent's control address."""
@@ -70,7 +78,11 @@
 class Cluster:
     """All processes of one run; a context manager that ends every one of them."""
 
-    def __init__(self, *, name: str, retention_s: float = 3600.0, seed: int = 1) -> None:
+    def __init__(
+        self, *, name: str, retention_s: float = 3600.0, seed: int = 1, relayed: bool = False
+    ) -> None:
+        self._relayed = relayed
+        self._relays = ""
         self._network = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
         self._directory = tempfile.TemporaryDirectory(prefix=f"jasmineseam-{name}-")
         self.directory = pathlib.Path(self._directory.name)
@@ -93,6 +105,8 @@
             str(self._seed),
         )
         self.platform = platform["address"]
+        if self._relayed:
+            self._relays = self.start_standin("relays", f"{self._network}.251")["address"]
         return self
 
     def __exit__(self, *exc_info: object) -> None:
@@ -149,6 +163,7 @@
         vm = Vm(
             vm_id=f"vm-{index}{suffix}",
             address=f"{self._network}.{index + 1}",
+            advertised=f"{self._network}.{index + 1 + (100 if self._relayed else 0)}",
             seat=index,
             failure_domain=f"domain-{index % 3}",
         )
@@ -158,6 +173,7 @@
             "vm": {
                 "id": vm.vm_id,
                 "address": vm.address,
+                "advertised_address": vm.advertised,
                 "failure_domain": vm.failure_domain,
                 "seat": index,
                 "seats": seats,
@@ -173,6 +189,14 @@
             "logs": {"level": "info"},
             "fatal_invariants": self._fatal,
         }
+        if self._relayed:
+            control = vm.settings["entry"]["processes"][0]["control_port"]
+            order = {
+                "advertised": vm.advertised,
+                "address": vm.address,
+                "ports": [vm.settings["agent"]["control_port"], control],
+            }
+            call(self._relays, "/open", order)
         self.vms[f"seat-{index}"] = vm
         self._write_settings()
         if listed:
@@ -184,7 +208,7 @@
         self.listed[vm.vm_id] = {
             "vm_id": vm.vm_id,
             "role": "entry",
-            "address": vm.agent_address,
+            "address": vm.listed_address,
             "failure_domain": vm.failure_domain,
             "state": state,
         }
@@ -199,6 +223,10 @@
         """Give the platform its newest list."""
         call(self.platform, "/admin/vms", {"vms": list(self.listed.values())})
 
+    def cut_vm(self, vm: Vm, cut: bool) -> None:
+        """Hold back all that the other VMs send to one, or let it go on."""
+        call(self._relays, "/cut", {"advertised": vm.advertised, "cut": cut})
+
     def set_faults(self, **faults: t.Any) -> None:
         """Change what is wrong with the platform."""
         call(self.platform, "/admin/faults", faults)
@@ -331,9 +359,9 @@
         }
 
     def _write_settings(self) -> None:
-        peers = [vm.agent_address for vm in self.vms.values()]
+        peers = [vm.listed_address for vm in self.vms.values()]
         for vm in self.vms.values():
-            vm.settings["agent"]["peers"] = [one for one in peers if one != vm.agent_address]
+            vm.settings["agent"]["peers"] = [one for one in peers if one != vm.listed_address]
             vm.settings_file = self.directory / f"{vm.vm_id}.json"
             vm.settings_file.write_text(json.dumps(vm.settings, indent=1))
 
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -117,6 +117,15 @@
     return vm.vm_id
 
 
+def cut_vm(context: FaultContext) -> str:
+    """Cut a VM off from what the others send; it still reaches them and the platform."""
+    vm = context.pick_vm()
+    context.cluster.cut_vm(vm, True)
+    time.sleep(context.random.uniform(1.0, 5.0))
+    context.cluster.cut_vm(vm, False)
+    return vm.vm_id
+
+
 def cut_log(context: FaultContext) -> str:
     """Take the log away for a while."""
     context.cluster.set_faults(log_down=True)
@@ -226,6 +235,7 @@
     stop_program,
     freeze_program,
     freeze_vm,
+    cut_vm,
     cut_log,
     cut_platform,
     slow_platform,
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -203,7 +203,7 @@
 
 def run_soak(seed: int, seconds: float, vms: int, faults: int) -> tuple[Verdict, Soak, str]:
     """Run once; returns the verdict, the run, and the programs' logs if it failed."""
-    with Cluster(name="soak", seed=seed) as cluster:
+    with Cluster(name="soak", seed=seed, relayed=True) as cluster:
         soak = Soak(cluster=cluster, seed=seed, vms=vms, faults=faults)
         soak.set_up()
         asyncio.run(soak.run(seconds))
--- a/src/jasmineseam/documents.py
+++ b/src/jasmineseam/documents.py
@@ -27,8 +27,10 @@
     """
     if _is_struct(kind):
         return _find_struct_faults(kind, value, path)
-    if t.get_origin(kind) is list and isinstance(value, list):
-        return _find_list_faults(t.get_args(kind)[0], value, path)
+    if isinstance(value, list) and t.get_origin(_strip_bounds(kind)) is list:
+        faults = _find_list_faults(t.get_args(_strip_bounds(kind))[0], value, path)
+        if faults:
+            return faults
     if _converts(kind, value):
         return []
     return [Fault(path or "document", _shorten(value), _describe(kind, value))]
@@ -68,6 +70,10 @@
     return faults
 
 
+def _strip_bounds(kind: t.Any) -> t.Any:
+    return t.get_args(kind)[0] if t.get_origin(kind) is t.Annotated else kind
+
+
 def _is_struct(kind: t.Any) -> bool:
     return isinstance(kind, type) and issubclass(kind, msgspec.Struct)
 
--- a/src/jasmineseam/measuring/budget.py
+++ b/src/jasmineseam/measuring/budget.py
@@ -2,7 +2,8 @@
 
 A share allows a number of probes, each of which may be repeated only when the window has passed
 since its answer came. The server saw the probe before that, so no window at the servers holds
-more than the share, however long this process slept in between.
+more than the share, however long this process slept in between. What the seat's last holder has
+sent is not known, so the first window is silent.
 """
 
 from __future__ import annotations
@@ -33,30 +34,48 @@
 
     >>> now = [0.0]
     >>> budget = ProbeBudget(clock=lambda: now[0], share=1, window_s=10.0)
+    >>> budget.start()
+    False
+    >>> now[0] = 10.2
     >>> budget.start(), budget.start()
     (True, False)
-    >>> budget.finish(); now[0] = 10.2; budget.start()
+    >>> budget.finish(); now[0] = 20.4; budget.start()
     True
     """
 
-    __slots__ = ("_clock", "_finished_at", "_running", "_window_s", "sent", "share")
+    __slots__ = (
+        "_clock",
+        "_finished_at",
+        "_running",
+        "_silent_until",
+        "_window_s",
+        "sent",
+        "share",
+    )
 
     def __init__(self, *, clock, share: int, window_s: float) -> None:
         self._clock = clock
         self.share = share
         self._window_s = window_s * CLOCK_DRIFT_FACTOR
+        self._silent_until = clock() + self._window_s
         self._running = 0
         self._finished_at: list[float] = []
         self.sent = 0
 
     def change(self, share: int, window_s: float) -> None:
-        """Take the numbers of a new catalogue entry; what was sent stays counted."""
+        """Take the numbers of a new catalogue entry; a changed window begins with silence."""
         self.share = share
+        if self._window_s == window_s * CLOCK_DRIFT_FACTOR:
+            return
         self._window_s = window_s * CLOCK_DRIFT_FACTOR
+        self._silent_until = self._clock() + self._window_s
 
     def start(self) -> bool:
         """Take the right to send one probe now; to be called right before it is sent."""
-        oldest = self._clock() - self._window_s
+        now = self._clock()
+        if now < self._silent_until:
+            return False
+        oldest = now - self._window_s
         self._finished_at = [at for at in self._finished_at if at > oldest]
         used = self._running + len(self._finished_at)
         if used >= self.share:
--- a/src/jasmineseam/operations/settings.py
+++ b/src/jasmineseam/operations/settings.py
@@ -29,12 +29,14 @@
     """Where and what this VM is.
 
     :param address: the only IP that the programs bind to.
+    :param advertised_address: the IP by which other entry VMs reach this one, if it differs.
     :param seat: which share of the measuring budget is this VM's; no two VMs share one.
     :param seats: how many entry VMs there are.
     """
 
     id: Name
     address: Ip
+    advertised_address: Ip | None = None
     failure_domain: Name
     seat: t.Annotated[int, msgspec.Meta(ge=0)]
     seats: PositiveCount
@@ -130,9 +132,13 @@
 
     @property
     def agent_address(self) -> str:
-        """The agent's control address."""
+        """The agent's control address for the programs of this VM."""
         return f"{self.vm.address}:{self.agent.control_port}"
 
+    def advertise(self, control_port: int) -> str:
+        """Return a control address as the other entry VMs use it."""
+        return f"{self.vm.advertised_address or self.vm.address}:{control_port}"
+
 
 def parse_settings(text: str, source: str = "settings") -> Settings:
     """Parse and check a settings document.
--- a/src/jasmineseam/programs/agent.py
+++ b/src/jasmineseam/programs/agent.py
@@ -189,7 +189,7 @@
             vm_id=vm.id,
             incarnation=self.incarnation,
             failure_domain=vm.failure_domain,
-            agent_address=self.settings.agent_address,
+            agent_address=self.settings.advertise(self.settings.agent.control_port),
             seat=vm.seat,
             ready=self.ready and bool(entries),
             leaving=self._leaving,
@@ -280,7 +280,8 @@
         )
 
     def _meet(self, address: str) -> None:
-        if address == self.settings.agent_address or address in self._gossip_tasks:
+        own = self.settings.advertise(self.settings.agent.control_port)
+        if address in (own, self.settings.agent_address) or address in self._gossip_tasks:
             return
         self._gossip_wanted[address] = asyncio.Event()
         self._gossip_tasks[address] = asyncio.create_task(self._gossip_with(address))
--- a/src/jasmineseam/programs/attempts.py
+++ b/src/jasmineseam/programs/attempts.py
@@ -7,6 +7,7 @@
 import contextlib
 import itertools
 import time
+import typing as t
 
 import aiohttp
 import yarl
@@ -37,6 +38,13 @@
 _SKIPPED = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 
 
+class _Received(t.NamedTuple):
+    """What was read of an answer's body."""
+
+    body: bytes
+    whole: bool
+
+
 class OpenAnswer:
     """An answer too large to be held whole: its beginning, and the connection for the rest.
 
@@ -118,6 +126,10 @@
         except AttemptLostError:
             pool.note_lost(backend)
             raise
+        except asyncio.CancelledError:
+            if not extra:
+                pool.note_unfinished(time.monotonic() - began_at)
+            raise
         finally:
             if open_answer is None:
                 backend.end(token, time.monotonic())
@@ -155,7 +167,7 @@
         whole = False
         try:
             self._judge_head(pool, backend, response, number)
-            answer = await self._receive(response, buffer_bytes)
+            received = await self._receive(response, buffer_bytes)
             whole = True
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise AttemptLostError(_name_loss(error)) from error
@@ -164,13 +176,14 @@
                 # an abandoned answer's connection is never used again
                 response.close()
         latency_s = time.monotonic() - began_at
-        pool.note_answer(backend, latency_s, good=response.status not in SERVER_ERRORS)
+        good = response.status not in SERVER_ERRORS
+        pool.note_answer(backend, latency_s, good=good, extra=extra)
         self.observed.add(backend.server.server_id)
-        if answer is not None:
+        answer = _build_answer(response, received.body)
+        if received.whole:
             return answer
-        head = Answer(status=response.status, headers=strip_headers(response.headers), body=b"")
         return OpenAnswer(
-            head=head,
+            head=answer,
             response=response,
             end=lambda: backend.end(token, time.monotonic()),
         )
@@ -210,25 +223,22 @@
         pool.admission.limit.note_shed()
         raise AttemptNotRunError("shed")
 
-    async def _receive(self, response: aiohttp.ClientResponse, buffer_bytes: int) -> Answer | None:
-        """Read an answer whole, or return ``None`` with the response left open."""
+    async def _receive(self, response: aiohttp.ClientResponse, buffer_bytes: int) -> _Received:
+        """Read an answer whole, or its beginning, with the response left open."""
         length = response.content_length
         if length is not None and length > buffer_bytes and response.method != "HEAD":
-            return None
+            return _Received(body=b"", whole=False)
         if length is not None:
-            body = await response.read()
-            return _build_answer(response, body)
+            return _Received(body=await response.read(), whole=True)
         chunks = []
         size = 0
         while size <= buffer_bytes:
             chunk = await response.content.read(READ_BYTES)
             if not chunk:
-                return _build_answer(response, b"".join(chunks))
+                return _Received(body=b"".join(chunks), whole=True)
             chunks.append(chunk)
             size += len(chunk)
-        # what was read goes back in front of the rest
-        response.content.unread_data(b"".join(chunks))
-        return None
+        return _Received(body=b"".join(chunks), whole=False)
 
 
 def _build_answer(response: aiohttp.ClientResponse, body: bytes) -> Answer:
--- a/src/jasmineseam/programs/entry.py
+++ b/src/jasmineseam/programs/entry.py
@@ -13,7 +13,6 @@
 from ..exceptions import NotRunError
 from ..exceptions import UnknownOutcomeError
 from ..measuring.reports import DRAINING
-from ..measuring.reports import LoadReport
 from ..membership.vms import EntryProcess
 from ..membership.vms import Successor
 from ..operations.daemon import EXIT_USAGE
@@ -199,7 +198,7 @@
         process = EntryProcess(
             incarnation=self.incarnation,
             http_address=f"{vm.address}:{self._process.http_port}",
-            control_address=self.peer_server.address,
+            control_address=self.settings.advertise(self._process.control_port),
             key_prefix=self.homes.ledger.prefix,
             in_flight=self.forwarder.in_flight,
         )
@@ -234,15 +233,15 @@
         for result in reply.probed:
             if result in self._probed_seen:
                 continue
-            self._take_probe(*result)
+            server_id, _, _, state = result
+            self._take_probe(server_id, state)
         self._probed_seen = set(reply.probed)
 
-    def _take_probe(self, server_id: str, in_flight: int, slots: int, state: str) -> None:
+    def _take_probe(self, server_id: str, state: str) -> None:
         if state == DRAINING:
             self._note_leaving(server_id, "answer")
-        report = LoadReport(in_flight=in_flight, slots=slots)
         for pool in self.forwarder.pools.values():
-            pool.note_probe(server_id, report, state)
+            pool.note_probe(server_id, state)
 
     def _note_leaving(self, server_id: str, source: str) -> None:
         if self.mirror.servers.mark_leaving(server_id, source):
--- a/src/jasmineseam/programs/forwarding.py
+++ b/src/jasmineseam/programs/forwarding.py
@@ -323,6 +323,8 @@
             response.content_length = length
         try:
             await response.prepare(request)
+            if answer.head.body:
+                await response.write(answer.head.body)
             async for chunk in answer.response.content.iter_any():
                 await response.write(chunk)
             await response.write_eof()
--- a/src/jasmineseam/routing/backends.py
+++ b/src/jasmineseam/routing/backends.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from ..measuring.reports import LoadReport
 from ..membership.servers import Server
 
 RAMP_S = 4.0
@@ -21,19 +20,16 @@
 
     __slots__ = (
         "_next",
+        "answered_at",
         "cold",
         "ejected_until",
         "ejections",
         "failures",
         "known_at",
-        "last_used_at",
         "latency_s",
-        "others",
-        "reported_at",
         "requests",
         "running",
         "server",
-        "slots",
         "trial",
     )
 
@@ -44,16 +40,13 @@
         self.running: dict[int, float] = {}
         self._next = 0
         self.latency_s = 0.0
-        self.others = 0
-        self.reported_at = float("-inf")
-        self.slots = 0
         self.cold = False
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
         self.trial = False
         self.requests = 0
-        self.last_used_at = now
+        self.answered_at = now
 
     @property
     def in_flight(self) -> int:
@@ -65,26 +58,20 @@
         self._next += 1
         self.running[self._next] = now
         self.requests += 1
-        self.last_used_at = now
         return self._next
 
     def end(self, token: int, now: float) -> float:
         """Note that a request has ended; returns how long it took, in seconds."""
         return now - self.running.pop(token)
 
-    def note_latency(self, latency_s: float) -> None:
+    def note_latency(self, latency_s: float, now: float) -> None:
         """Learn from one whole answer's latency."""
+        self.answered_at = now
         if self.latency_s == 0.0:
             self.latency_s = latency_s
             return
         self.latency_s += LATENCY_GAIN * (latency_s - self.latency_s)
 
-    def note_report(self, report: LoadReport, now: float) -> None:
-        """Learn from a load report that came with an answer or a probe."""
-        self.others = max(0, report.in_flight - len(self.running))
-        self.slots = report.slots
-        self.reported_at = now
-
     def get_weight(self, now: float) -> float:
         """Return the share of a full server's requests that this one should get, 0 to 1."""
         weight = COLD_WEIGHT if self.cold else 1.0
--- a/src/jasmineseam/routing/choice.py
+++ b/src/jasmineseam/routing/choice.py
@@ -1,8 +1,10 @@
-"""The choice of a server: the least loaded of all, by own requests first.
+"""The choice of a server: the least loaded of all, by this process's own requests.
 
-Reports of others' load count less the older they are. A server whose oldest request has run for
-much longer than usual is passed over: that sign of a sudden slowdown costs nothing and is never
-stale.
+Two signs of a sudden slowdown cost nothing and are never stale: a server whose oldest request
+has run for much longer than usual is passed over, and among servers alike the one that answered
+last is preferred, since one that has fallen silent may have stopped. Reports of others' load are
+not used here: they are older than a service time on arrival, and measurements were worse with
+them.
 """
 
 from __future__ import annotations
@@ -12,9 +14,10 @@
 
 from .backends import Backend
 
-REPORT_TRUST_S = 0.1
 OVERDUE_FACTOR = 2.5
 OVERDUE_PENALTY = 2.0
+SILENCE_PENALTY = 0.9
+SILENCE_FACTOR = 10.0
 
 Choice = t.Callable[[list[Backend], float, float], Backend | None]
 
@@ -22,16 +25,18 @@
 def make_choice(
     *,
     chooser: random.Random,
-    report_trust_s: float = REPORT_TRUST_S,
     overdue_factor: float = OVERDUE_FACTOR,
     overdue_penalty: float = OVERDUE_PENALTY,
+    silence_penalty: float = SILENCE_PENALTY,
+    silence_factor: float = SILENCE_FACTOR,
 ) -> Choice:
     """Make the function that chooses a server.
 
     :param chooser: breaks ties.
-    :param report_trust_s: age in seconds at which a report counts for nothing.
     :param overdue_factor: multiple of the usual latency from which a request is overdue.
     :param overdue_penalty: requests that an overdue one counts for.
+    :param silence_penalty: requests that a long silence counts for; less than one.
+    :param silence_factor: multiple of the usual latency from which a silence is long.
     :returns: a function of the candidates, the time now and the service's usual latency, both in
         seconds, that returns the chosen one, or ``None`` if there is none.
 
@@ -46,23 +51,23 @@
     'idle'
     """
 
-    def score(backend: Backend, now: float, overdue_s: float) -> float:
+    def score(backend: Backend, now: float, overdue_s: float, silence_s: float) -> float:
         load = len(backend.running) + 1.0
-        age_s = now - backend.reported_at
-        if age_s < report_trust_s:
-            load += backend.others * (1.0 - age_s / report_trust_s)
         if backend.running:
             oldest_s = now - next(iter(backend.running.values()))
             if oldest_s > overdue_s:
                 load += overdue_penalty
+        silent_s = now - backend.answered_at
+        load += silence_penalty * min(1.0, silent_s / silence_s)
         return load / backend.get_weight(now)
 
     def choose(candidates: list[Backend], now: float, usual_s: float) -> Backend | None:
         overdue_s = overdue_factor * usual_s if usual_s > 0 else float("inf")
+        silence_s = silence_factor * usual_s if usual_s > 0 else float("inf")
         best = None
         best_score = float("inf")
         for backend in candidates:
-            own = score(backend, now, overdue_s) + chooser.random() * 0.01
+            own = score(backend, now, overdue_s, silence_s) + chooser.random() * 0.01
             if own >= best_score:
                 continue
             best = backend
--- a/src/jasmineseam/routing/hedging.py
+++ b/src/jasmineseam/routing/hedging.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-HEDGE_QUANTILE = 0.92
+HEDGE_QUANTILE = 0.97
 STEP = 0.05
 MEDIAN_QUANTILE = 0.5
 
@@ -35,3 +35,11 @@
             self.value_s = latency_s
             return
         self.value_s *= self._up if latency_s > self.value_s else self._down
+
+    def note_unfinished(self, elapsed_s: float) -> None:
+        """Learn from a request that was given up unfinished after a time, in seconds.
+
+        Without these the estimate would sink: hedging cuts off just the longest ones.
+        """
+        if elapsed_s > self.value_s > 0.0:
+            self.value_s *= self._up
--- a/src/jasmineseam/routing/pool.py
+++ b/src/jasmineseam/routing/pool.py
@@ -109,36 +109,45 @@
             invariants.check(not leaving, "leaving-server-chosen", chosen.server.server_id)
         return chosen
 
-    def note_answer(self, backend: Backend, latency_s: float, *, good: bool) -> None:
+    def note_answer(
+        self, backend: Backend, latency_s: float, *, good: bool, extra: bool = False
+    ) -> None:
         """Learn from a whole answer.
 
         :param good: whether it was no server error.
+        :param extra: whether it is that of a retry or hedge.
         """
         now = self._clock()
         if not good:
             note_failure(backend, now)
             return
         note_success(backend, now)
-        backend.note_latency(latency_s)
+        backend.note_latency(latency_s, now)
+        if extra:
+            return
         self.usual.note(latency_s)
         self.hedge_after.note(latency_s)
 
+    def note_unfinished(self, elapsed_s: float) -> None:
+        """Learn from a first attempt that was cancelled after a time, in seconds."""
+        self.usual.note_unfinished(elapsed_s)
+        self.hedge_after.note_unfinished(elapsed_s)
+
     def note_lost(self, backend: Backend) -> None:
         """Learn that a connection or an answer was lost."""
         note_failure(backend, self._clock())
 
     def note_report(self, backend: Backend, report: LoadReport, state: str | None) -> None:
         """Learn from a load report that came with an answer."""
-        backend.note_report(report, self._clock())
         backend.cold = state == COLD
         self.admission.limit.note_answer(report.in_flight, report.slots)
 
-    def note_probe(self, server_id: str, report: LoadReport, state: str) -> None:
-        """Learn from a probe's report."""
+    def note_probe(self, server_id: str, state: str) -> None:
+        """Learn from a probe that the server answers."""
         backend = self._backends.get(server_id)
         if backend is None:
             return
-        backend.note_report(report, self._clock())
+        backend.answered_at = self._clock()
         backend.cold = state == COLD
 
     def get_hedge_delay_s(self) -> float:
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -16,6 +16,7 @@
 from .plain import answer_at_once
 from .plain import make_pass_through
 from .platform import Platform
+from .relay import RelayGroup
 from .server import Oracle
 from .server import Profile
 from .server import ServerGroup
@@ -62,7 +63,8 @@
     print(
         json.dumps({"servers": addresses, "admin": admin, "oracle": f"{host}:{port}"}), flush=True
     )
-    await asyncio.gather(*(server.make_noise() for server in servers))
+    for server in servers:
+        server.start_noise(seed)
     await asyncio.Event().wait()
 
 
@@ -85,6 +87,20 @@
     asyncio.run(_run_plain(host, target))
 
 
+async def _run_relays(host: str) -> None:
+    address = await _listen(RelayGroup().administer, host)
+    print(json.dumps({"address": address}), flush=True)
+    await asyncio.Event().wait()
+
+
+def relays(host: str) -> None:
+    """Run relays between VMs.
+
+    :param host: the address to administer them.
+    """
+    asyncio.run(_run_relays(host))
+
+
 def platform(host: str, *, retention_s: float = 3600.0, seed: int = 1) -> None:
     """Run the platform's log and VM list.
 
@@ -122,4 +138,4 @@
 
 
 if __name__ == "__main__":
-    defopt.run([plain, platform, servers], cli_options="has_default", short={})
+    defopt.run([plain, platform, relays, servers], cli_options="has_default", short={})
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -93,6 +93,7 @@
         self.tally.orders.append(record)
         body = f'{{"order": "{run_id}"}}'.encode()
         headers = {"Request-Id": run_id}
+        sent = False
         for attempt in range(TRIES):
             entry = await self._choose(attempt)
             if entry is None:
@@ -102,6 +103,11 @@
             headers.setdefault("Idempotency-Key", f"{entry['key_prefix']}.{run_id}")
             result = await self._send("POST", entry["address"], service, path, body, headers)
             record.trace.append(f"{entry['address']}={result}")
+            if result == "not-sent" and not sent:
+                # no byte of this key has left, so another home's key may take its place
+                del headers["Idempotency-Key"]
+                continue
+            sent = True
             record.outcome = result
             if result in ("answered", "not-run"):
                 return record
@@ -182,6 +188,9 @@
                 timeout=timeout,
             ) as response:
                 text = await response.read()
+        except aiohttp.ClientConnectorError:
+            self.tally.causes["not-sent"] += 1
+            return "not-sent"
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self.tally.causes[type(error).__name__] += 1
             return "lost"
--- a/standins/server.py
+++ b/standins/server.py
@@ -67,6 +67,7 @@
         self.server_id = server_id
         # a file descriptor: what was run must outlive a kill
         self._journal = journal
+        self._noise: asyncio.Task | None = None
         self.profile = profile
         self.behaviour = Behaviour()
         self.random = random.Random(seed)
@@ -185,11 +186,19 @@
             headers["Backend-State"] = "cold"
         return headers
 
-    async def make_noise(self) -> None:
-        """Slow this server down again and again, as a noisy neighbour would."""
-        while self.profile.noise_period_s:
-            await asyncio.sleep(self.random.expovariate(1 / self.profile.noise_period_s))
-            self.behaviour.slow_until = time.monotonic() + self.random.uniform(0.05, 0.5)
+    def start_noise(self, seed: int) -> None:
+        """Begin the slowdowns of a noisy neighbour anew, as the seed draws them."""
+        if self._noise is not None:
+            self._noise.cancel()
+        self.behaviour.slow_until = 0.0
+        if self.profile.noise_period_s:
+            chooser = random.Random(f"{seed} {self.server_id}")
+            self._noise = asyncio.create_task(self._make_noise(chooser))
+
+    async def _make_noise(self, chooser: random.Random) -> None:
+        while True:
+            await asyncio.sleep(chooser.expovariate(1 / self.profile.noise_period_s))
+            self.behaviour.slow_until = time.monotonic() + chooser.uniform(0.05, 0.5)
 
 
 def digest_request(method: str, path: str, body: bytes) -> str:
@@ -204,7 +213,12 @@
         self.servers = {server.server_id: server for server in servers}
 
     async def administer(self, request: web.BaseRequest) -> web.Response:
-        """Change behaviours (``POST /behaviour``) or tell the journal (``GET /journal``)."""
+        """Change behaviours, begin the noise anew, or tell the journal."""
+        if request.path == "/noise":
+            seed = msgspec.json.decode(await request.read())
+            for server in self.servers.values():
+                server.start_noise(seed)
+            return web.Response()
         if request.path == "/behaviour":
             changes = msgspec.json.decode(await request.read())
             for server_id in changes.pop("servers", list(self.servers)):
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,159 @@
+"""Small fakes at the interfaces: a mirror that a test fills, and scripted servers."""
+
+import asyncio
+import contextlib
+import secrets
+
+import aiohttp
+import zmq.asyncio
+from aiohttp import web
+
+from jasmineseam.catalogue.entry import check_entry
+from jasmineseam.catalogue.records import EntryState
+from jasmineseam.membership.servers import Server
+from jasmineseam.membership.servers import Servers
+from jasmineseam.membership.vms import EntryProcess
+from jasmineseam.membership.vms import EntryVms
+from jasmineseam.membership.vms import VmInfo
+from jasmineseam.peers.links import PeerLinks
+from jasmineseam.programs.attempts import Sender
+from jasmineseam.programs.attempts import open_session
+from jasmineseam.programs.forwarding import Forwarder
+from jasmineseam.programs.homes import Homes
+
+
+class FakeMirror:
+    """What an entry holds of its agent's state."""
+
+    def __init__(self, *, clock):
+        self.states = {}
+        self.servers = Servers(clock=clock)
+        self.vms = EntryVms(clock=clock)
+        self.live_vms = []
+        self.entry_processes = 1
+        self.ready = True
+
+    def publish(self, **entry):
+        body = {"service": "fittings", "owner": "test", **entry}
+        state = EntryState(
+            service=body["service"],
+            revision=1,
+            change_id="c",
+            position=1,
+            entry=check_entry("test", body),
+        )
+        self.states[state.service] = state
+
+
+class EntryUnderTest:
+    """An entry's whole request path in this process, with real sockets and scripted servers.
+
+    :param handlers: one server for each, called with the request.
+    """
+
+    def __init__(self, *handlers, body_timeout_s=5.0, head_bytes=8190, **entry):
+        self.handlers = handlers
+        self.entry = entry
+        self.body_timeout_s = body_timeout_s
+        self.head_bytes = head_bytes
+        self.incarnation = secrets.token_hex(8)
+        self.stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self):
+        clock = asyncio.get_running_loop().time
+        self.mirror = FakeMirror(clock=clock)
+        self.mirror.publish(**self.entry)
+        listed = []
+        for number, handler in enumerate(self.handlers):
+            address = await listen(self.stack, handler)
+            name = f"s{number}"
+            listed.append(
+                Server(server_id=name, service="fittings", address=address, failure_domain="d")
+            )
+        self.mirror.servers.take_list(listed)
+        context = zmq.asyncio.Context()
+        self.stack.callback(context.destroy, linger=0)
+        self.links = PeerLinks(context=context)
+        self.stack.callback(self.links.close)
+        session = open_session()
+        self.stack.push_async_callback(session.close)
+        self.leaving = []
+        self.sender = Sender(session=session, on_leaving=self.note_leaving)
+        self.homes = Homes(incarnation=self.incarnation, links=self.links, mirror=self.mirror)
+        self.forwarder = Forwarder(
+            mirror=self.mirror,
+            sender=self.sender,
+            homes=self.homes,
+            body_timeout_s=self.body_timeout_s,
+        )
+        self.homes.run_claimed = self.forwarder.run_buffered
+        self.address = await listen(
+            self.stack,
+            self.forwarder.handle,
+            max_field_size=self.head_bytes,
+            max_line_size=self.head_bytes,
+            auto_decompress=False,
+        )
+        self.session = aiohttp.ClientSession()
+        self.stack.push_async_callback(self.session.close)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.stack.aclose()
+
+    def note_leaving(self, server_id, source):
+        self.leaving.append((server_id, source))
+        self.mirror.servers.mark_leaving(server_id, source)
+
+    def make_key(self, own_id):
+        return f"{self.homes.ledger.prefix}.{own_id}"
+
+    async def send(self, method="GET", path="/x", *, key="", headers=None, **options):
+        headers = {"Host": "fittings", **(headers or {})}
+        if key:
+            headers["Idempotency-Key"] = key
+        url = f"http://{self.address}{path}"
+        async with self.session.request(method, url, headers=headers, **options) as response:
+            body = await response.read()
+        return Received(response, body)
+
+    def set_peer(self, incarnation, control_address):
+        """Let this entry know another one."""
+        process = EntryProcess(
+            incarnation=incarnation,
+            http_address="127.0.0.1:1",
+            control_address=control_address,
+            key_prefix=f"{incarnation}-0",
+        )
+        vm = VmInfo(
+            vm_id="peer",
+            incarnation="1",
+            failure_domain="d",
+            agent_address="127.0.0.1:1",
+            seat=1,
+            ready=True,
+            entries=[process],
+        )
+        self.mirror.live_vms = [vm]
+        self.homes.remember_addresses()
+
+
+class Received:
+    """An answer as the caller got it."""
+
+    def __init__(self, response, body):
+        self.status = response.status
+        self.headers = response.headers
+        self.outcome = response.headers.get("Jasmineseam-Outcome")
+        self.body = body
+
+
+async def listen(stack, handler, **options):
+    """Serve a handler on a port that the kernel chooses; returns the address."""
+    server = web.Server(handler, handler_cancellation=True, access_log=None, **options)
+    runner = web.ServerRunner(server, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    return f"127.0.0.1:{runner.addresses[0][1]}"
--- /dev/null
+++ b/tests/test_catalogue.py
@@ -0,0 +1,279 @@
+"""The catalogue: entries, records, fold, checkpoints; and all of them against a plain model."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from jasmineseam.catalogue.entry import CatalogueEntry
+from jasmineseam.catalogue.entry import MethodRule
+from jasmineseam.catalogue.entry import check_entry
+from jasmineseam.catalogue.fold import Catalogue
+from jasmineseam.catalogue.fold import find_checkpoint
+from jasmineseam.catalogue.records import Change
+from jasmineseam.catalogue.records import CheckpointPart
+from jasmineseam.catalogue.records import compute_digest
+from jasmineseam.catalogue.records import encode_record
+from jasmineseam.catalogue.records import join_parts
+from jasmineseam.catalogue.records import split_snapshot
+from jasmineseam.exceptions import EntryInvalidError
+
+SERVICES = ("fittings", "stock", "batches")
+
+
+def make_change(change_id, service="fittings", base=0, owner="kalipso"):
+    body = None if owner is None else {"service": service, "owner": owner}
+    change = Change(change_id=change_id, service=service, base_revision=base, body=body)
+    return encode_record(change)
+
+
+def fold(payloads):
+    catalogue = Catalogue()
+    for offset, payload in enumerate(payloads):
+        catalogue.apply(offset, payload)
+    return catalogue
+
+
+def encode_checkpoint(checkpoint_id, catalogue):
+    parts = split_snapshot(checkpoint_id, catalogue.take_snapshot())
+    return [encode_record(part) for part in parts]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "idempotent"),
+    [
+        ("GET", "/sizes", True),
+        ("DELETE", "/sizes", True),
+        ("POST", "/orders", False),
+        ("PATCH", "/orders", False),
+        ("POST", "/search/by-size", True),
+        ("PUT", "/seals/7", False),
+    ],
+)
+def test_idempotency_follows_method_and_rules(method, path, idempotent):
+    rules = [
+        MethodRule(method="POST", path_prefix="/search", idempotent=True),
+        MethodRule(method="PUT", path_prefix="/seals", idempotent=False),
+    ]
+    entry = CatalogueEntry(service="stock", owner="kalipso", rules=rules)
+    assert entry.is_idempotent(method, path) is idempotent
+
+
+@pytest.mark.parametrize(
+    ("body", "paths"),
+    [
+        ({}, ["service", "owner"]),
+        ({"service": "A", "owner": ""}, ["service", "owner"]),
+        ({"service": "a", "owner": "o", "limits": {"queue": -1, "x": 1}}, ["limits.queue"]),
+        ({"service": "a", "owner": "o", "rules": [{"method": "get"}]}, ["rules[0].method"]),
+        ({"service": "a", "owner": "o", "traffic_class": "bulk"}, ["traffic_class"]),
+        ([], ["document"]),
+    ],
+)
+def test_entry_faults_are_all_named(body, paths):
+    with pytest.raises(EntryInvalidError) as caught:
+        check_entry("entry.json", body)
+    found = [fault.path for fault in caught.value.faults]
+    for path in paths:
+        assert path in found
+
+
+@pytest.mark.parametrize(
+    ("payloads", "revision", "accepted"),
+    [
+        ([make_change("a")], 1, [True]),
+        ([make_change("a"), make_change("b", base=1)], 2, [True, True]),
+        ([make_change("a"), make_change("b")], 1, [True, False]),
+        ([make_change("a"), make_change("a")], 1, [True, None]),
+        ([make_change("a", base=3)], 0, [False]),
+        ([make_change("a"), make_change("b", base=1, owner=None)], 2, [True, True]),
+        ([make_change("a", owner=None)], 0, [False]),
+        (["not json", make_change("a")], 1, [None, True]),
+        (['{"type":"other"}', make_change("a")], 1, [None, True]),
+        ([make_change("a", owner=""), make_change("b")], 1, [False, True]),
+    ],
+)
+def test_meaning_is_decided_by_the_order(payloads, revision, accepted):
+    catalogue = Catalogue()
+    results = []
+    for offset, payload in enumerate(payloads):
+        outcome = catalogue.apply(offset, payload)
+        results.append(None if outcome is None else outcome.accepted)
+    state = catalogue.get("fittings")
+    assert results == accepted
+    assert (state.revision if state else 0) == revision
+    assert catalogue.position == len(payloads)
+
+
+def test_the_beaten_operator_learns_who_won():
+    catalogue = fold([make_change("a")])
+    outcome = catalogue.apply(1, make_change("b"))
+    assert (outcome.accepted, outcome.beaten_by, outcome.revision) == (False, "a", 1)
+
+
+def test_checkpoint_survives_parts_in_any_order_and_refuses_damage():
+    payloads = [make_change(f"c{n}", service=f"service-{n}") for n in range(250)]
+    catalogue = fold(payloads)
+    parts = split_snapshot("cp", catalogue.take_snapshot())
+    assert len(parts) == 3
+    whole = join_parts(list(reversed(parts)))
+    assert compute_digest(whole) == compute_digest(catalogue.take_snapshot())
+    assert join_parts(parts[:2]) is None
+    parts[1].snapshot.entries.pop()
+    assert join_parts(parts) is None
+
+
+@pytest.mark.parametrize(("first", "usable"), [(0, True), (3, True), (4, False)])
+def test_a_checkpoint_counts_only_if_nothing_after_it_is_forgotten(first, usable):
+    payloads = [make_change("a"), make_change("b", base=1), make_change("c", base=2)]
+    old = encode_checkpoint("old", fold(payloads))
+    records = [*payloads, make_change("d", base=3), *old]
+    found = find_checkpoint(records[first:], first)
+    assert (found is not None) is usable
+
+
+def test_an_old_checkpoint_of_a_woken_writer_changes_nothing():
+    payloads = [make_change("a")]
+    old = encode_checkpoint("old", fold(payloads))
+    payloads += [make_change("b", base=1, owner="newer")]
+    catalogue = fold(payloads)
+    catalogue.apply(2, old[0])
+    assert catalogue.get("fittings").entry.owner == "newer"
+    assert catalogue.joins == 0
+
+
+def test_a_log_that_lost_its_end_is_refilled_from_memory():
+    ahead = fold([make_change("a"), make_change("b", base=1)])
+    checkpoint = encode_checkpoint("refill", ahead)
+    # the log came back empty; the reader starts over, keeps its state, and appends a checkpoint
+    ahead.restart_reading()
+    for offset, payload in enumerate(checkpoint):
+        ahead.apply(offset, payload)
+    new = fold(checkpoint)
+    late = make_change("c", base=2)
+    for catalogue in (ahead, new):
+        catalogue.apply(len(checkpoint), late)
+        assert catalogue.get("fittings").revision == 3
+    assert ahead.position >= new.position >= 3
+
+
+def test_adopting_an_older_state_is_refused():
+    older = fold([make_change("a")]).take_snapshot()
+    catalogue = fold([make_change("a"), make_change("b", base=1)])
+    assert catalogue.adopt(older) is False
+    assert catalogue.get("fittings").revision == 2
+
+
+@given(st.text(max_size=200) | st.binary(max_size=200).map(lambda raw: raw.decode("latin-1")))
+def test_no_record_stops_the_fold(payload):
+    catalogue = fold([make_change("a"), payload])
+    outcome = catalogue.apply(2, make_change("b", base=1))
+    assert outcome.accepted
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=8,
+)
+
+
+@given(st.dictionaries(st.sampled_from(["service", "owner", "limits", "rules"]), json_values))
+def test_any_body_is_checked_or_refused(body):
+    payload = msgspec.json.encode(
+        {
+            "type": "change",
+            "change_id": "x",
+            "service": "a",
+            "base_revision": 0,
+            "body": body,
+        }
+    ).decode()
+    catalogue = fold([payload])
+    assert catalogue.position == 1
+
+
+class CatalogueMachine(RuleBasedStateMachine):
+    """Readers that follow, fall behind, start late and adopt, against a plain fold."""
+
+    def __init__(self):
+        super().__init__()
+        self.log = []
+        self.first = 0
+        self.model = {}
+        self.seen = set()
+        self.number = 0
+        self.readers = [Catalogue(), Catalogue()]
+        self.highest = [{}, {}]
+
+    @rule(service=st.sampled_from(SERVICES), base=st.integers(0, 3), repeat=st.booleans())
+    def append_change(self, service, base, repeat):
+        if not repeat or not self.number:
+            self.number += 1
+        change_id = f"change-{self.number}"
+        self.log.append(make_change(change_id, service, base, owner=change_id))
+        if change_id in self.seen:
+            return
+        self.seen.add(change_id)
+        if self.model.get(service, (0, ""))[0] == base:
+            self.model[service] = (base + 1, change_id)
+
+    @rule()
+    def append_garbage(self):
+        self.log.append("{")
+
+    @rule(reader=st.integers(0, 1))
+    def append_checkpoint(self, reader):
+        self.number += 1
+        self.log += encode_checkpoint(f"cp-{self.number}", self.readers[reader])
+
+    @rule(count=st.integers(1, 4))
+    def trim(self, count):
+        self.first = min(self.first + count, len(self.log))
+
+    @rule(reader=st.integers(0, 1), count=st.integers(1, 6))
+    def follow(self, reader, count):
+        catalogue = self.readers[reader]
+        if catalogue.next_offset < self.first:
+            snapshot = find_checkpoint(self.log[self.first :], self.first)
+            if snapshot is None or not catalogue.adopt(snapshot):
+                return
+        for payload in self.log[catalogue.next_offset :][:count]:
+            catalogue.apply(catalogue.next_offset, payload)
+
+    @rule(reader=st.integers(0, 1))
+    def adopt_from_peer(self, reader):
+        self.readers[reader].adopt(self.readers[1 - reader].take_snapshot())
+
+    @rule(reader=st.integers(0, 1))
+    def replace_reader(self, reader):
+        self.readers[reader] = Catalogue()
+        self.highest[reader] = {}
+
+    @invariant()
+    def nothing_reverts(self):
+        for catalogue, highest in zip(self.readers, self.highest, strict=True):
+            assert catalogue.position >= highest.get("position", 0)
+            highest["position"] = catalogue.position
+            for state in catalogue.list_states():
+                assert state.revision >= highest.get(state.service, 0)
+                highest[state.service] = state.revision
+
+    @invariant()
+    def caught_up_readers_hold_what_the_log_says(self):
+        for catalogue in self.readers:
+            if catalogue.next_offset != len(self.log):
+                continue
+            held = {one.service: (one.revision, one.change_id) for one in catalogue.list_states()}
+            assert held == self.model
+
+
+TestCatalogueMachine = CatalogueMachine.TestCase
+
+
+def test_part_is_a_record():
+    part = split_snapshot("cp", Catalogue().take_snapshot())[0]
+    assert isinstance(part, CheckpointPart)
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,179 @@
+"""The ledger: at most one run for each key, whatever repeats, expires, fills up or moves."""
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from jasmineseam.exceptions import NotRunError
+from jasmineseam.exceptions import UnknownOutcomeError
+from jasmineseam.requests.key import Key
+from jasmineseam.requests.key import format_key
+from jasmineseam.requests.key import parse_key
+from jasmineseam.requests.ledger import PERIODS_KEPT
+from jasmineseam.requests.ledger import Ledger
+from jasmineseam.requests.ledger import Phase
+from jasmineseam.requests.ledger import restore_ledger
+from jasmineseam.requests.outcome import Answer
+
+HOME = "00000000000000aa"
+DONE = Answer(status=200, headers=[], body=b"done")
+
+
+def make_key(own_id="order", period=0):
+    return Key(home=HOME, period=period, own_id=own_id)
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "x", "aa-1.order", f"{HOME}.order", f"{HOME}-1.", f"{HOME}-x.order", f"{HOME}-1.a b"],
+)
+def test_malformed_keys_are_refused_as_not_run(text):
+    with pytest.raises(NotRunError):
+        parse_key(text)
+
+
+def test_keys_round_trip():
+    key = make_key("order.with.dots", 12)
+    assert parse_key(format_key(key)) == key
+
+
+def test_a_repeat_joins_then_gets_the_kept_answer(clock):
+    ledger = Ledger(home=HOME, clock=clock)
+    key = make_key()
+    assert ledger.claim(key, "f") is None
+    assert ledger.claim(key, "f").phase is Phase.RUNNING
+    ledger.finish(key, DONE)
+    assert ledger.claim(key, "f").answer == DONE
+
+
+@pytest.mark.parametrize(
+    ("period", "at_s", "error"),
+    [
+        (1, 0.0, NotRunError),
+        (0, 60.0 * PERIODS_KEPT + 1, None),
+        (0, 60.0 * (PERIODS_KEPT + 1) + 1, UnknownOutcomeError),
+    ],
+)
+def test_periods_bound_what_is_answered_for(clock, period, at_s, error):
+    ledger = Ledger(home=HOME, clock=clock)
+    clock.now = at_s
+    if error is None:
+        assert ledger.claim(make_key(period=period), "f") is None
+        return
+    with pytest.raises(error):
+        ledger.claim(make_key(period=period), "f")
+
+
+def test_a_key_used_for_another_request_is_refused(clock):
+    ledger = Ledger(home=HOME, clock=clock)
+    ledger.claim(make_key(), "f")
+    with pytest.raises(NotRunError):
+        ledger.claim(make_key(), "other")
+
+
+def test_a_full_ledger_refuses_and_stays_closed_for_the_period(clock):
+    ledger = Ledger(home=HOME, clock=clock, max_keys=1)
+    ledger.claim(make_key("a"), "f")
+    for _ in range(2):
+        with pytest.raises(NotRunError):
+            ledger.claim(make_key("b"), "f")
+    # room again, but a late copy of the refused request must still not run
+    ledger._max_keys = 10
+    with pytest.raises(NotRunError):
+        ledger.claim(make_key("b"), "f")
+    clock.now = 61.0
+    assert ledger.claim(make_key("b", period=1), "f") is None
+
+
+def test_an_answer_too_large_to_keep_makes_repeats_unknown(clock):
+    ledger = Ledger(home=HOME, clock=clock, max_bytes=300)
+    ledger.claim(make_key(), "f")
+    ledger.finish(make_key(), Answer(status=200, headers=[], body=b"x" * 200))
+    assert ledger.claim(make_key(), "f").phase is Phase.UNKNOWN
+
+
+def test_a_stopped_ledger_decides_nothing_and_its_copy_goes_on(clock):
+    ledger = Ledger(home=HOME, clock=clock)
+    clock.now = 130.0
+    ledger.claim(make_key("done"), "f")
+    ledger.finish(make_key("done"), DONE)
+    ledger.claim(make_key("running"), "f")
+    ledger.stop_deciding()
+    with pytest.raises(UnknownOutcomeError):
+        ledger.claim(make_key("new"), "f")
+    copy = ledger.copy()
+    clock.now = 5000.0
+    successor = restore_ledger(copy, clock=clock)
+    assert successor.period == 2
+    assert successor.claim(make_key("done"), "f").answer == DONE
+    assert successor.claim(make_key("running"), "f").phase is Phase.UNKNOWN
+    assert successor.claim(make_key("new", period=2), "f") is None
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Claims at whoever decides, with handovers, time and repeats; runs are counted outside."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.ledger = Ledger(home=HOME, clock=lambda: self.now, max_keys=6)
+        self.old = []
+        self.runs = {}
+        self.not_run = set()
+        self.running = set()
+
+    def claim(self, ledger, key):
+        try:
+            record = ledger.claim(key, "f")
+        except NotRunError:
+            assert key not in self.runs
+            self.not_run.add(key)
+            return
+        except UnknownOutcomeError:
+            return
+        if record is None:
+            assert key not in self.not_run
+            self.runs[key] = self.runs.get(key, 0) + 1
+            self.running.add(key)
+
+    @rule(own_id=st.sampled_from("abcdefgh"), back=st.integers(0, 12))
+    def claim_here(self, own_id, back):
+        period = max(0, self.ledger.period - back)
+        self.claim(self.ledger, make_key(own_id, period))
+
+    @rule(own_id=st.sampled_from("abcdefgh"))
+    def claim_at_a_former_home(self, own_id):
+        for ledger in self.old:
+            self.claim(ledger, make_key(own_id, ledger.period))
+
+    @rule()
+    def finish_one(self):
+        if self.running:
+            self.ledger.finish(self.running.pop(), DONE)
+
+    @rule()
+    def lose_one(self):
+        if self.running:
+            self.ledger.lose(self.running.pop())
+
+    @rule(seconds=st.sampled_from([1.0, 61.0, 700.0]))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule()
+    def hand_over(self):
+        self.ledger.stop_deciding()
+        self.running.clear()
+        self.old.append(self.ledger)
+        copy = self.ledger.copy()
+        self.ledger = restore_ledger(copy, clock=lambda: self.now)
+        self.ledger._max_keys = 6
+
+    @invariant()
+    def every_key_ran_at_most_once(self):
+        assert all(count == 1 for count in self.runs.values())
+
+
+TestLedgerMachine = LedgerMachine.TestCase
--- /dev/null
+++ b/tests/test_stops.py
@@ -0,0 +1,97 @@
+"""Planned stops under load, with real programs: nothing is lost."""
+
+import asyncio
+import threading
+
+import aiohttp
+import pytest
+
+from bench.cluster import Cluster
+from bench.judge import judge_orders
+from standins.callers import Caller
+
+CALLERS = 6
+
+
+def start(cluster):
+    cluster.start_servers("fittings", ["fit-0", "fit-1", "fit-2"])
+    vms = [cluster.add_vm(index, 3) for index in range(3)]
+    for vm in vms:
+        cluster.start_vm(vm)
+    cluster.wait_until_named(3)
+    assert cluster.publish(vms[0], {"service": "fittings", "owner": "k"})["exit_code"] == 0
+    return vms
+
+
+def stop_vm(cluster, vms):
+    cluster.stop_vm(vms[1])
+
+
+def stop_two_vms_in_an_outage(cluster, vms):
+    cluster.set_faults(log_down=True, list_down=True)
+    threads = [threading.Thread(target=cluster.stop_vm, args=(vm,)) for vm in vms[1:]]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    cluster.set_faults(log_down=False, list_down=False)
+
+
+def stop_each_program_alone(cluster, vms):
+    for program in ("agent", "locator", "entry"):
+        process = vms[1].programs[program]
+        process.terminate()
+        assert process.wait(30) == 0
+        cluster.start_program(vms[1], program)
+
+
+def stop_server(cluster, vms):
+    group = cluster.servers[0]
+    cluster.set_behaviour(group, servers=["fit-1"], draining=True)
+    held_until = threading.Event()
+    held_until.wait(2.0)
+    before = cluster.read_journals()["fit-1"]["requests"]
+    held_until.wait(1.0)
+    after = cluster.read_journals()["fit-1"]
+    # from 2 s after the first sign on nothing new, though list and catalogue say it is live
+    assert (after["requests"], after["held"]) == (before, 0)
+
+
+@pytest.mark.parametrize(
+    "stop", [stop_vm, stop_two_vms_in_an_outage, stop_each_program_alone, stop_server]
+)
+def test_a_planned_stop_loses_no_request(stop):
+    with Cluster(name="stops") as cluster:
+        vms = start(cluster)
+
+        async def load():
+            stopped = asyncio.Event()
+            async with aiohttp.ClientSession() as session:
+                callers = []
+                for number in range(CALLERS):
+                    callers.append(
+                        Caller(
+                            session=session,
+                            locators=lambda: [vm.locator_address for vm in vms],
+                            failure_domain=f"domain-{number % 3}",
+                            seed=number,
+                        )
+                    )
+
+                async def repeat(caller):
+                    while not stopped.is_set():
+                        await caller.look_up("fittings")
+                        await caller.order("fittings")
+
+                tasks = [asyncio.create_task(repeat(caller)) for caller in callers]
+                await asyncio.sleep(0.5)
+                await asyncio.to_thread(stop, cluster, vms)
+                stopped.set()
+                await asyncio.gather(*tasks)
+            return [caller.tally for caller in callers]
+
+        verdict = judge_orders(asyncio.run(load()), cluster.count_runs())
+        report = f"{verdict}\n{cluster.read_logs()[-4000:]}"
+        assert not verdict.failures, report
+        assert (verdict.not_run, verdict.unknown) == (0, 0), report
+        assert verdict.answered == verdict.requests > 50, report
