Discard a page of the log if a peer's state was taken while it was read

Reading the log and joining peers are two tasks; a join between the request and its answer moved the offset, and the page was then folded at the wrong place. Ruled out: a log that was rewritten (no loss was counted).

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -287,14 +287,17 @@
             timeout=60,
             check=False,
         )
-        return done.returncode, done.stdout + done.stderr
+        return done.returncode, done.stdout or done.stderr
 
     def publish(self, vm: Vm, entry: dict[str, t.Any], *arguments: str) -> dict[str, t.Any]:
         """Publish a catalogue entry by the operator's command; returns its report."""
         path = self.directory / f"{entry['service']}-{time.monotonic_ns()}.json"
         path.write_text(json.dumps(entry))
         code, output = self.run_ctl(vm, "publish", str(path), "--json", *arguments)
-        report = json.loads(output.strip().splitlines()[-1])
+        try:
+            report = json.loads(output.strip().splitlines()[-1])
+        except (ValueError, IndexError) as error:
+            raise RuntimeError(f"publish ended with {code}: {output}") from error
         report["exit_code"] = code
         return report
 
@@ -363,7 +366,10 @@
         for vm in self.vms.values():
             vm.settings["agent"]["peers"] = [one for one in peers if one != vm.listed_address]
             vm.settings_file = self.directory / f"{vm.vm_id}.json"
-            vm.settings_file.write_text(json.dumps(vm.settings, indent=1))
+            # a program that starts meanwhile must not read half a file
+            new = vm.settings_file.with_suffix(".new")
+            new.write_text(json.dumps(vm.settings, indent=1))
+            new.replace(vm.settings_file)
 
 
 def call(address: str, path: str, body: t.Any = None) -> t.Any:
--- a/src/jasmineseam/peers/links.py
+++ b/src/jasmineseam/peers/links.py
@@ -140,7 +140,10 @@
         except TimeoutError as error:
             raise PeerAnswerLostError(f"{self.address}: no reply in {timeout_s:.3f} s") from error
         finally:
-            self._waiting.pop(number, None)
+            del self._waiting[number]
+            if reply.done() and not reply.cancelled():
+                # it may have broken while the message was still being sent
+                reply.exception()
 
     async def _send(self, frames: list[bytes], timeout_s: float) -> None:
         try:
--- a/src/jasmineseam/programs/catalogue_reader.py
+++ b/src/jasmineseam/programs/catalogue_reader.py
@@ -109,6 +109,9 @@
             catalogue.last_digest = ""
             return True
         self.read_at = time.monotonic()
+        if catalogue.next_offset - overlap != start:
+            # a peer's newer state was taken while the log was being read
+            return True
         if self._is_rewritten(page.end, page.records[:overlap]):
             self._note_loss()
             return True
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Messages and links: bad bytes, other versions, lost peers."""
 
 import asyncio
+import gc
 
 import pytest
 import zmq
@@ -96,6 +97,30 @@
     asyncio.run(run())
 
 
+def test_a_peer_that_breaks_off_each_connection_leaves_no_unretrieved_error():
+    reported = []
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context["message"]))
+        server = await asyncio.start_server(
+            lambda reader, writer: writer.transport.abort(), "127.0.0.1", 0
+        )
+        context = zmq.asyncio.Context()
+        port = server.sockets[0].getsockname()[1]
+        link = PeerLink(context=context, address=f"127.0.0.1:{port}")
+        for _ in range(3):
+            with pytest.raises(PeerUnreachableError):
+                await link.request(DumpRequest(), 0.3)
+        link.close()
+        server.close()
+        context.destroy(linger=0)
+        gc.collect()
+
+    asyncio.run(run())
+    assert reported == []
+
+
 def test_a_broken_connection_gives_up_missing_replies_at_once():
     async def never(message):
         await asyncio.sleep(60)
