Follow an agent's restart after a lost log; race hedges by a timer; mend what a reading found

Found by reading, each with a test: - A program ignored a restarted agent whose positions count from lower on (possible after the log lost records): its changes would never have come into force. Faults are now looked for only if the entry does not convert. Hedging: a task and a wait for each idempotent request is replaced by a timer.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -41,16 +41,18 @@
     def __init__(self, *, log: LogClient) -> None:
         self._log = log
         self._offset = 0
+        self._reading = asyncio.Lock()
         self._first: dict[str, int] = {}
 
     async def claim(self, key: str) -> bool:
         """Append a claim; returns whether it is the first of its key."""
         own = await self._log.append(STREAM, key)
-        while self._offset <= own:
-            page = await self._log.read(STREAM, self._offset)
-            for index, claimed in enumerate(page.records):
-                self._first.setdefault(claimed, self._offset + index)
-            self._offset += len(page.records)
+        async with self._reading:
+            while self._offset <= own:
+                page = await self._log.read(STREAM, self._offset)
+                for index, claimed in enumerate(page.records):
+                    self._first.setdefault(claimed, self._offset + index)
+                self._offset += len(page.records)
         return self._first[key] == own
 
 
--- a/src/jasmineseam/catalogue/entry.py
+++ b/src/jasmineseam/catalogue/entry.py
@@ -116,10 +116,11 @@
     :param source: named in the error.
     :raises EntryInvalidError: with every fault.
     """
-    faults = find_faults(CatalogueEntry, value)
-    if faults:
-        raise EntryInvalidError(source, faults)
-    return msgspec.convert(value, CatalogueEntry)
+    try:
+        return msgspec.convert(value, CatalogueEntry)
+    except (msgspec.ValidationError, ValueError) as error:
+        # only now, since looking for every fault costs a hundred times as much
+        raise EntryInvalidError(source, find_faults(CatalogueEntry, value)) from error
 
 
 def _matches(rule: MethodRule, method: str, path: str) -> bool:
--- a/src/jasmineseam/membership/servers.py
+++ b/src/jasmineseam/membership/servers.py
@@ -1,7 +1,8 @@
 """Backend servers: which a service has, and which of them are leaving.
 
 Whichever source first says that a server is leaving is believed, whatever the others say, until
-the server's VM is replaced (a new id) or the sign has grown old.
+the server's VM is replaced (a new id), the list has shown it leaving and then live again, or the
+sign has grown old.
 """
 
 from __future__ import annotations
@@ -51,18 +52,22 @@
     []
     """
 
-    __slots__ = ("_by_service", "_clock", "_leaving", "version")
+    __slots__ = ("_by_service", "_clock", "_leaving", "_returned_at", "version")
 
     def __init__(self, *, clock) -> None:
         self._clock = clock
         self._by_service: dict[str, list[Server]] = {}
         self._leaving: dict[str, tuple[str, float]] = {}
+        self._returned_at: dict[str, float] = {}
         self.version = 0
 
     def take_list(self, servers: list[Server]) -> None:
         """Replace the list of servers by the platform's newest one."""
         by_service: dict[str, list[Server]] = {}
+        left = {server.server_id for server in self.list_all() if server.leaving}
         for server in servers:
+            if server.server_id in left and not server.leaving:
+                self._note_returned(server.server_id)
             by_service.setdefault(server.service, []).append(server)
             if server.leaving:
                 self.mark_leaving(server.server_id, "list")
@@ -73,12 +78,19 @@
     def mark_leaving(self, server_id: str, source: str, age_s: float = 0.0) -> bool:
         """Remember that a server is leaving; returns whether that is new."""
         seen_at = self._clock() - age_s
+        if seen_at < self._returned_at.get(server_id, seen_at):
+            return False
         if server_id in self._leaving or age_s >= LEAVING_KEPT_S:
             return False
         self._leaving[server_id] = (source, seen_at)
         self.version += 1
         return True
 
+    def _note_returned(self, server_id: str) -> None:
+        self._returned_at[server_id] = self._clock()
+        if self._leaving.pop(server_id, None) is not None:
+            self.version += 1
+
     def expire(self) -> None:
         """Forget signs that have grown old."""
         oldest = self._clock() - LEAVING_KEPT_S
@@ -87,6 +99,9 @@
                 continue
             del self._leaving[server_id]
             self.version += 1
+        for server_id, returned_at in list(self._returned_at.items()):
+            if returned_at <= oldest:
+                del self._returned_at[server_id]
 
     def is_leaving(self, server_id: str) -> bool:
         """Tell whether a server must get no new work."""
--- a/src/jasmineseam/programs/attempts.py
+++ b/src/jasmineseam/programs/attempts.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections
-import contextlib
 import itertools
 import time
 import typing as t
@@ -256,12 +255,3 @@
     if isinstance(error, aiohttp.ServerDisconnectedError):
         return "disconnected"
     return "connection"
-
-
-async def end_tasks(tasks: set[asyncio.Task]) -> None:
-    """Cancel tasks and wait for their end."""
-    for task in tasks:
-        task.cancel()
-    for task in tasks:
-        with contextlib.suppress(Exception, asyncio.CancelledError):
-            await task
--- a/src/jasmineseam/programs/forwarding.py
+++ b/src/jasmineseam/programs/forwarding.py
@@ -32,7 +32,7 @@
 from .attempts import SERVER_ERRORS
 from .attempts import OpenAnswer
 from .attempts import Sender
-from .attempts import end_tasks
+from .hedge import race_attempts
 from .homes import Homes
 from .mirror import Mirror
 
@@ -41,6 +41,7 @@
 STARTING_RETRY_AFTER_S = 1.0
 NO_SERVER_RETRY_AFTER_S = 1.0
 BODY_CHUNK_BYTES = 65_536
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NOT_ASKED_HOME = frozenset({"starting", "no-such-service"})
 
 
@@ -175,6 +176,8 @@
         length = request.content_length
         if length is not None and length > limit:
             raise NotRunError("body-too-large", 413)
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            await request.writer.write(CONTINUE)
         chunks = []
         size = 0
         try:
@@ -251,8 +254,7 @@
                 if not inbound.idempotent or not self._may_retry(pool, inbound, error):
                     break
                 continue
-            status = answer.status if isinstance(answer, Answer) else answer.head.status
-            if status not in SERVER_ERRORS or not inbound.idempotent:
+            if _is_good(answer) or not inbound.idempotent:
                 return answer
             if isinstance(answer, OpenAnswer) or not self._may_retry(pool, inbound, None):
                 return answer
@@ -290,29 +292,30 @@
         *,
         extra: bool,
     ) -> Answer | OpenAnswer:
-        attempt = self._sender.attempt(
+        first = self._sender.attempt(
             pool, backend, inbound, extra=extra, buffer_bytes=buffer_bytes
         )
         hedged = inbound.idempotent and inbound.entry.limits.hedge
         if not hedged or extra or inbound.extra or pool.hedge_after.value_s == 0.0:
-            return await attempt
-        first = asyncio.ensure_future(attempt)
-        tasks = {first}
-        try:
-            await asyncio.wait(tasks, timeout=pool.get_hedge_delay_s())
-            if not first.done() and pool.attempts.take_hedge():
-                other = pool.pick(excluded)
-                if other is not None:
-                    excluded.add(other.server.server_id)
-                    hedge = self._sender.attempt(
-                        pool, other, inbound, extra=True, buffer_bytes=buffer_bytes
-                    )
-                    tasks.add(asyncio.ensure_future(hedge))
-            return await _take_first(tasks, first)
-        finally:
-            unfinished = {task for task in tasks if not task.done()}
-            if unfinished:
-                await end_tasks(unfinished)
+            return await first
+
+        def start_second() -> t.Coroutine | None:
+            if not pool.attempts.take_hedge():
+                return None
+            other = pool.pick(excluded)
+            if other is None:
+                return None
+            excluded.add(other.server.server_id)
+            return self._sender.attempt(
+                pool, other, inbound, extra=True, buffer_bytes=buffer_bytes
+            )
+
+        return await race_attempts(
+            first,
+            delay_s=pool.get_hedge_delay_s(),
+            start_second=start_second,
+            is_good=_is_good,
+        )
 
     async def _stream(self, request: web.BaseRequest, answer: OpenAnswer) -> web.StreamResponse:
         headers = CIMultiDict(answer.head.headers)
@@ -361,20 +364,9 @@
         return response
 
 
-async def _take_first(tasks: set[asyncio.Task], first: asyncio.Task) -> Answer | OpenAnswer:
-    """Return the first answer that is no server error, else the end of the first attempt."""
-    pending = set(tasks)
-    while pending:
-        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        for task in done:
-            if task.exception() is not None:
-                continue
-            answer = task.result()
-            status = answer.status if isinstance(answer, Answer) else answer.head.status
-            if status in SERVER_ERRORS and pending:
-                continue
-            return answer
-    return first.result()
+def _is_good(answer: Answer | OpenAnswer) -> bool:
+    status = answer.status if isinstance(answer, Answer) else answer.head.status
+    return status not in SERVER_ERRORS
 
 
 def _parse_deadline(text: str | None) -> float:
--- a/src/jasmineseam/programs/homes.py
+++ b/src/jasmineseam/programs/homes.py
@@ -182,7 +182,7 @@
             if record is None:
                 running = asyncio.create_task(self._run_claimed(ledger, key, inbound))
                 self._running[key] = running
-                running.add_done_callback(lambda _: self._running.pop(key, None))
+                running.add_done_callback(lambda task: self._note_ended(key, task))
             elif record.phase is Phase.ANSWERED:
                 return record.answer
             else:
@@ -193,6 +193,12 @@
         except TimeoutError as error:
             raise UnknownOutcomeError("deadline", 504) from error
 
+    def _note_ended(self, key: Key, task: asyncio.Task) -> None:
+        del self._running[key]
+        if not task.cancelled():
+            # every caller may have left before the end
+            task.exception()
+
     async def _run_claimed(self, ledger: Ledger, key: Key, inbound: InboundRequest) -> Answer:
         try:
             answer = await self.run_claimed(inbound)
--- a/src/jasmineseam/programs/mirror.py
+++ b/src/jasmineseam/programs/mirror.py
@@ -124,7 +124,8 @@
         if self.ready and not reply.ready:
             # a restarted agent that knows nothing yet takes nothing away
             return
-        if reply.position < self.position:
+        same_agent = reply.agent_incarnation == self._agent_incarnation
+        if same_agent and reply.position < self.position:
             return
         for state in reply.states:
             self._take_state(state)
--- a/src/jasmineseam/requests/inbound.py
+++ b/src/jasmineseam/requests/inbound.py
@@ -15,6 +15,7 @@
     {
         "connection",
         "content-length",
+        "expect",
         "host",
         "jasmineseam-attempt",
         "jasmineseam-deadline-ms",
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 """A request's way through the entry: answers late, crossed, cut and large; keys; bad input."""
 
 import asyncio
+import gc
 
 import pytest
 from aiohttp import web
@@ -37,6 +38,11 @@
     return web.Response()
 
 
+async def drop_late(request):
+    await asyncio.sleep(0.1)
+    return await drop(request)
+
+
 async def cut(request):
     response = web.StreamResponse()
     response.content_length = 100
@@ -317,6 +323,37 @@
     assert len(script.seen) == 1
 
 
+def test_a_caller_that_waits_for_100_continue_is_told_to_go_on():
+    script = Script(answer)
+
+    async def scenario(entry):
+        return await entry.send("POST", data=b"body", expect100=True)
+
+    received = run(scenario, script)
+    assert (received.outcome, script.seen[0][2]) == ("answered", b"body")
+    assert "Expect" not in script.seen[0][3]
+
+
+def test_a_run_that_fails_after_its_caller_left_is_no_unretrieved_error():
+    script = Script(drop_late)
+    reported = []
+
+    async def scenario(entry):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context["message"]))
+        task = asyncio.ensure_future(entry.send("POST", key=entry.make_key("order-1")))
+        while not script.seen:
+            await asyncio.sleep(0.01)
+        task.cancel()
+        while entry.homes.ledger.count_running():
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0)
+        gc.collect()
+
+    run(scenario, script)
+    assert not [one for one in reported if "never retrieved" in one]
+
+
 def test_a_slow_body_is_timed_out():
     async def scenario(entry):
         async def drip():
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -95,6 +95,20 @@
     assert servers.list_usable("fittings")
 
 
+def test_a_server_that_the_list_shows_back_is_used_again_despite_older_signs(clock):
+    servers = Servers(clock=clock)
+    servers.take_list([make_server()])
+    servers.mark_leaving("s1", "answer")
+    clock.now = 10.0
+    servers.take_list([make_server(leaving=True)])
+    clock.now = 30.0
+    servers.take_list([make_server()])
+    assert not servers.mark_leaving("s1", "answer", age_s=30.0)
+    assert servers.list_usable("fittings")
+    clock.now = 31.0
+    assert servers.mark_leaving("s1", "answer")
+
+
 def test_signs_cross_vms_with_their_age(clock):
     servers, peer = Servers(clock=clock), Servers(clock=clock)
     servers.mark_leaving("s1", "answer")
