Try servers again that nobody has asked for long

Preferring the server that answered last kept all requests of a light load at one server for ever; nothing ever asked the other. Change: silence counts only up to 40 usual latencies. test_light_load_reaches_every_server fails before (the other servers get none) and passes now. In test_a_server_that_has_fallen_silent_is_ passed_over the silent server had not been asked for 50 usual latencies; it has been for 15 now, as the older case is no longer one of silence. Also: a server is taken back on the list's word only if its last sign of leaving is 10 s old, since a lagging list may show it as live once more (test_each_source_alone_is_believed had failed).

--- a/src/jasmineseam/membership/servers.py
+++ b/src/jasmineseam/membership/servers.py
@@ -10,6 +10,7 @@
 import msgspec
 
 LEAVING_KEPT_S = 300.0
+RETURN_AFTER_S = 10.0
 
 
 class Server(msgspec.Struct, kw_only=True, frozen=True):
@@ -66,7 +67,7 @@
         by_service: dict[str, list[Server]] = {}
         left = {server.server_id for server in self.list_all() if server.leaving}
         for server in servers:
-            if server.server_id in left and not server.leaving:
+            if server.server_id in left & self._leaving.keys() and not server.leaving:
                 self._note_returned(server.server_id)
             by_service.setdefault(server.service, []).append(server)
             if server.leaving:
@@ -87,9 +88,14 @@
         return True
 
     def _note_returned(self, server_id: str) -> None:
-        self._returned_at[server_id] = self._clock()
-        if self._leaving.pop(server_id, None) is not None:
-            self.version += 1
+        now = self._clock()
+        _, seen_at = self._leaving.get(server_id, ("", float("-inf")))
+        # a list that lags may show a leaving server as live once more
+        if now - seen_at < RETURN_AFTER_S:
+            return
+        self._returned_at[server_id] = now
+        del self._leaving[server_id]
+        self.version += 1
 
     def expire(self) -> None:
         """Forget signs that have grown old."""
--- a/src/jasmineseam/routing/choice.py
+++ b/src/jasmineseam/routing/choice.py
@@ -18,6 +18,7 @@
 OVERDUE_PENALTY = 2.0
 SILENCE_PENALTY = 0.9
 SILENCE_FACTOR = 10.0
+SILENCE_EXPIRY_FACTOR = 40.0
 
 Choice = t.Callable[[list[Backend], float, float], Backend | None]
 
@@ -58,7 +59,9 @@
             if oldest_s > overdue_s:
                 load += overdue_penalty
         silent_s = now - backend.answered_at
-        load += silence_penalty * min(1.0, silent_s / silence_s)
+        # a server that nobody has asked for long is tried again, or light load would stay at one
+        if silent_s < silence_s * SILENCE_EXPIRY_FACTOR / silence_factor:
+            load += silence_penalty * min(1.0, silent_s / silence_s)
         return load / backend.get_weight(now)
 
     def choose(candidates: list[Backend], now: float, usual_s: float) -> Backend | None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -243,12 +243,25 @@
 def test_a_server_that_has_fallen_silent_is_passed_over():
     choose = make_choice(chooser=random.Random(1))
     silent, heard = make_backend("silent"), make_backend("heard")
+    silent.note_latency(0.02, 0.7)
     heard.note_latency(0.02, 0.95)
     assert choose([silent, heard], 1.0, USUAL_S) is heard
     heard.begin(0.99)
     assert choose([silent, heard], 1.0, USUAL_S) is silent
 
 
+def test_light_load_reaches_every_server():
+    choose = make_choice(chooser=random.Random(1))
+    backends = [make_backend(name) for name in "abcd"]
+    counts = dict.fromkeys("abcd", 0)
+    for number in range(400):
+        now = 10.0 + number * 0.1
+        chosen = choose(backends, now, USUAL_S)
+        chosen.note_latency(USUAL_S, now + USUAL_S)
+        counts[chosen.server.server_id] += 1
+    assert min(counts.values()) >= 20
+
+
 def test_lying_reports_do_not_steer_the_choice(clock):
     servers = Servers(clock=clock)
     servers.take_list([make_server(name) for name in "ab"])
