--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench.overhead
 	$(BIN)/python -m bench.routing
+	$(BIN)/python -m bench.plots
 
 slopes: $(STAMP)
 	$(BIN)/python -m bench.slopes
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -110,8 +110,14 @@
     return outcomes.count("answered") / OUTAGE_ORDERS
 
 
-async def _run_kill(cluster: Cluster, first: Send, other: Send, vm: Vm, name: str) -> dict:
-    """Kill the entry in the middle; repeat what was lost at the other entry."""
+async def _run_kill(
+    cluster: Cluster, first: Send, repeat: Send, other: Send, vm: Vm, name: str
+) -> dict[str, int]:
+    """Kill the entry in the middle; repeat what was lost, under its key, at the other entry.
+
+    :param repeat: sends an order of the killed entry to the other one.
+    :param other: sends new orders to the other entry.
+    """
     until = time.monotonic() + KILL_RUN_S
     outcomes: list[str] = []
     alive = True
@@ -123,7 +129,7 @@
             run_id = f"{name}-kill-{worker}-{number}"
             outcome = await first(run_id) if alive else await other(run_id)
             if outcome != "answered":
-                outcome = await other(run_id)
+                outcome = await repeat(run_id)
             outcomes.append(outcome)
 
     async def kill() -> None:
@@ -163,6 +169,7 @@
             cluster,
             _make_claim_send(session, claims, home),
             _make_claim_send(session, claimed, other),
+            _make_claim_send(session, claimed, other),
             home,
             "claim",
         )
@@ -171,7 +178,12 @@
         await asyncio.sleep(1.0)
         ledger = _make_ledger_send(session, home, home)
         result["ledger, at the home"]["kill"] = await _run_kill(
-            cluster, ledger, _make_ledger_send(session, other, other), home, "ledger"
+            cluster,
+            ledger,
+            _make_ledger_send(session, home, other),
+            _make_ledger_send(session, other, other),
+            home,
+            "ledger",
         )
     return result
 
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -157,6 +157,19 @@
         self.publish_list()
         return servers
 
+    def start_plain(self, service: str) -> str:
+        """Start and list a server that answers at once; returns its address."""
+        address = self.start_standin("plain", f"{self._network}.252")["address"]
+        self.listed[service] = {
+            "vm_id": service,
+            "role": "server",
+            "address": address,
+            "failure_domain": "domain-0",
+            "service": service,
+        }
+        self.publish_list()
+        return address
+
     def add_vm(self, index: int, seats: int, generation: int = 0, *, listed: bool = True) -> Vm:
         """Prepare a VM: its settings, and its place in the list; nothing is started."""
         suffix = f"-{generation}" if generation else ""
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -40,11 +40,16 @@
 }
 
 
+PLAIN = {"service": "plain", "owner": "kalipso"}
+
+
 def _say(text: str) -> None:
     print(f"demo: {text}", flush=True)
 
 
-def _start(cluster: Cluster) -> None:
+def _start(cluster: Cluster) -> str:
+    """Start everything and publish; returns the address of the server that answers at once."""
+    plain = cluster.start_plain(PLAIN["service"])
     for entry in (LOOKUPS, ORDERS):
         service = entry["service"]
         cluster.start_servers(service, [f"{service}-{n}" for n in range(SERVERS)])
@@ -53,8 +58,9 @@
     for vm in vms:
         cluster.start_vm(vm)
     cluster.wait_until_named(VMS)
-    for entry in (LOOKUPS, ORDERS):
+    for entry in (LOOKUPS, ORDERS, PLAIN):
         _publish(cluster, entry)
+    return plain
 
 
 def _publish(cluster: Cluster, entry: dict[str, t.Any]) -> None:
@@ -104,20 +110,17 @@
     return callers
 
 
-async def _measure_added(cluster: Cluster) -> dict[str, HdrHistogram]:
-    """Send the same requests directly and through an entry, in turns."""
+async def _measure_added(cluster: Cluster, plain: str) -> dict[str, HdrHistogram]:
+    """Send requests to a server that answers at once, directly and through an entry, in turns."""
     vm = next(iter(cluster.vms.values()))
-    addresses = {
-        "direct": next(iter(cluster.servers[0].addresses.values())),
-        "entry": vm.http_address,
-    }
+    addresses = {"direct": plain, "entry": vm.http_address}
     histograms = {name: HdrHistogram(1, 10_000_000, 3) for name in addresses}
     async with aiohttp.ClientSession() as session:
         for _ in range(LATENCY_REQUESTS):
             for name, address in addresses.items():
                 began_at = time.perf_counter()
-                url = f"http://{address}/sizes/1"
-                async with session.get(url, headers={"Host": "fittings"}) as response:
+                url = f"http://{address}/"
+                async with session.get(url, headers={"Host": PLAIN["service"]}) as response:
                     await response.read()
                 took_us = int((time.perf_counter() - began_at) * 1e6)
                 histograms[name].record_value(took_us)
@@ -157,10 +160,10 @@
 def main() -> None:
     """Run the demonstration; ends with 0 only if no promise was broken."""
     with Cluster(name="demo") as cluster:
-        _start(cluster)
+        plain = _start(cluster)
         _say(f"{CALLERS} callers send lookups and orders for {LOAD_S:.0f} s")
         callers = asyncio.run(_load(cluster))
-        histograms = asyncio.run(_measure_added(cluster))
+        histograms = asyncio.run(_measure_added(cluster, plain))
         verdict = judge_orders([one.tally for one in callers], cluster.count_runs())
         journals = cluster.read_journals()
         verdict.failures.extend(find_budget_breaches(journals, PROBES, WINDOW_S))
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -100,15 +100,8 @@
     """Measure, and return the figures."""
     with Cluster(name="overhead") as cluster:
         host = cluster.platform.partition(":")[0]
-        server = cluster.start_standin("plain", host)["address"]
+        server = cluster.start_plain(SERVICE)
         proxy = cluster.start_standin("plain", host, "--target", server)["address"]
-        cluster.listed["plain-0"] = {
-            "vm_id": "plain-0",
-            "role": "server",
-            "address": server,
-            "failure_domain": "domain-0",
-            "service": SERVICE,
-        }
         vm = cluster.add_vm(0, 1)
         cluster.start_vm(vm)
         cluster.wait_until_named(1)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -219,15 +219,7 @@
     """Cost of the programs at rest with 6 VMs, and of one request at an entry and a locator."""
     figures: dict[str, float] = {}
     with Cluster(name="slopes") as cluster:
-        host = cluster.platform.partition(":")[0]
-        plain = cluster.start_standin("plain", host)["address"]
-        cluster.listed["plain-0"] = {
-            "vm_id": "plain-0",
-            "role": "server",
-            "address": plain,
-            "failure_domain": "domain-0",
-            "service": "plain",
-        }
+        cluster.start_plain("plain")
         vms = [cluster.add_vm(index, 6) for index in range(6)]
         for vm in vms:
             cluster.start_vm(vm)
