Count failed sendings in planned stops, and prove the handover with real programs

Cause: with the wait for lent answers taken out, test_a_planned_stop_loses_no_request still passed, since the callers repeat what was refused.

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bench.cluster import Cluster
+from bench.cluster import call
 from bench.judge import judge_orders
 from standins.callers import Caller
 
@@ -95,3 +96,29 @@
         assert not verdict.failures, report
         assert (verdict.not_run, verdict.unknown) == (0, 0), report
         assert verdict.answered == verdict.requests > 50, report
+        # callers repeat what fails, but a planned stop must give them no cause to
+        assert verdict.causes == {}, report
+
+
+def test_a_key_whose_home_has_stopped_gets_its_kept_answer_elsewhere():
+    with Cluster(name="keys") as cluster:
+        vms = start(cluster)
+        named = call(vms[1].locator_address, "/v1/entries")["entries"]
+        prefixes = {one["address"]: one["key_prefix"] for one in named}
+        key = f"{prefixes[vms[1].http_address]}.order-1"
+
+        async def order(vm):
+            headers = {"Host": "fittings", "Idempotency-Key": key, "Request-Id": "order-1"}
+            url = f"http://{vm.http_address}/orders"
+            async with (
+                aiohttp.ClientSession() as session,
+                session.post(url, headers=headers, data=b"1") as response,
+            ):
+                return response.headers["Jasmineseam-Outcome"], await response.read()
+
+        first = asyncio.run(order(vms[1]))
+        cluster.stop_vm(vms[1])
+        for vm in (vms[0], vms[2]):
+            assert asyncio.run(order(vm)) == first
+        assert first[0] == "answered"
+        assert cluster.count_runs()["order-1"] == 1
