Remove state that nobody reads, and work repeated for each server

Found on reading the whole change again: the probes' results_version, the agent's stopping flag in sync replies and the mirror's copy of it were written and never read; taking the VM list intersected the same two sets once for each server. Behaviour is the same.

--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -77,7 +77,7 @@
 
 
 def _summarize(arms: list[Arm]) -> dict[str, float]:
-    direct, proxy, entry = arms
+    _, proxy, entry = arms
     summary: dict[str, float] = {}
     for arm in arms:
         for quantile in (50, 99):
@@ -92,7 +92,6 @@
         summary[f"added_ratio_p{quantile}"] = round(ratio, 3)
     for arm in (proxy, entry):
         summary[f"{arm.name}_rate_per_s"] = round(sorted(arm.rates)[len(arm.rates) // 2])
-    del direct
     return summary
 
 
--- a/src/jasmineseam/membership/servers.py
+++ b/src/jasmineseam/membership/servers.py
@@ -66,8 +66,9 @@
         """Replace the list of servers by the platform's newest one."""
         by_service: dict[str, list[Server]] = {}
         left = {server.server_id for server in self.list_all() if server.leaving}
+        left &= self._leaving.keys()
         for server in servers:
-            if server.server_id in left & self._leaving.keys() and not server.leaving:
+            if server.server_id in left and not server.leaving:
                 self._note_returned(server.server_id)
             by_service.setdefault(server.service, []).append(server)
             if server.leaving:
@@ -89,7 +90,7 @@
 
     def _note_returned(self, server_id: str) -> None:
         now = self._clock()
-        _, seen_at = self._leaving.get(server_id, ("", float("-inf")))
+        _, seen_at = self._leaving[server_id]
         # a list that lags may show a leaving server as live once more
         if now - seen_at < RETURN_AFTER_S:
             return
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -70,7 +70,6 @@
 
     agent_incarnation: str
     ready: bool
-    stopping: bool
     position: int
     joins: int
     states: list[EntryState]
--- a/src/jasmineseam/programs/agent.py
+++ b/src/jasmineseam/programs/agent.py
@@ -220,7 +220,6 @@
         return SyncReply(
             agent_incarnation=self.incarnation,
             ready=self.ready,
-            stopping=self._leaving,
             position=self.catalogue.position,
             joins=self.catalogue.joins,
             states=states,
--- a/src/jasmineseam/programs/mirror.py
+++ b/src/jasmineseam/programs/mirror.py
@@ -61,7 +61,6 @@
         self.live_vms: list[VmInfo] = []
         self.entry_processes = 1
         self.ready = False
-        self.agent_stopping = False
         self.synced_at = float("-inf")
         self._left = False
 
@@ -138,7 +137,6 @@
         self._take_signs(reply.leaving, reply.successors)
         self.live_vms = reply.vms
         self.entry_processes = reply.entry_processes
-        self.agent_stopping = reply.stopping
         self.ready = reply.ready
         self.synced_at = time.monotonic()
         self._on_reply(reply)
--- a/src/jasmineseam/programs/prober.py
+++ b/src/jasmineseam/programs/prober.py
@@ -80,7 +80,6 @@
         self._offset = 0
         self._newest = ""
         self.results: list[ProbeResult] = []
-        self.results_version = 0
         self.stopped = False
 
     def note_observed(self, server_ids: list[str], ejected: list[str]) -> None:
@@ -200,4 +199,3 @@
         )
         self.results.append(result)
         del self.results[:-RESULTS_KEPT]
-        self.results_version += 1
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -35,7 +35,6 @@
     return SyncReply(
         agent_incarnation=agent,
         ready=ready,
-        stopping=False,
         position=position,
         joins=0,
         states=[state] if revision else [],
