--- a/src/jasmineseam/exceptions.py
+++ b/src/jasmineseam/exceptions.py
@@ -66,6 +66,32 @@
         super().__init__(f"records before offset {first_offset} have been trimmed")
 
 
+class StoreUnavailableError(PlatformError):
+    """The metadata store did not answer; a write may nevertheless take effect, also later.
+
+    :param call: the call that failed.
+    :param detail: what happened instead of an answer.
+    """
+
+    def __init__(self, call: str, detail: str) -> None:
+        self.call = call
+        self.detail = detail
+        super().__init__(f"{call}: {detail}")
+
+
+class RecordInvalidError(PlatformError):
+    """A record of the metadata store makes no sense.
+
+    :param key: the record's key.
+    :param detail: what is wrong with it.
+    """
+
+    def __init__(self, key: str, detail: str) -> None:
+        self.key = key
+        self.detail = detail
+        super().__init__(f"{key}: {detail}")
+
+
 class VmListUnavailableError(PlatformError):
     """The list of VMs did not answer."""
 
--- a/src/jasmineseam/measuring/reports.py
+++ b/src/jasmineseam/measuring/reports.py
@@ -43,3 +43,18 @@
     if match is None or match[2] == "0":
         return None
     return LoadReport(in_flight=int(match[1]), slots=int(match[2]))
+
+
+class ServerReport(msgspec.Struct, kw_only=True, frozen=True):
+    """A server's word on its load and on its host.
+
+    :param running: requests that it runs.
+    :param waiting: requests in its queue.
+    :param slots: requests that it runs at once.
+    :param slowness: time that work takes now, as a multiple of the usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 1.0
--- a/src/jasmineseam/membership/vms.py
+++ b/src/jasmineseam/membership/vms.py
@@ -39,7 +39,7 @@
     incarnation: str
     failure_domain: str
     agent_address: str
-    seat: int
+    seat: int = 0
     ready: bool = False
     leaving: bool = False
     entries: list[EntryProcess] = []
@@ -56,6 +56,7 @@
     """What one VM knows of all entry VMs.
 
     :param clock: returns seconds, monotonic.
+    :param heard_for_s: for how long a VM that was heard counts as live, in seconds.
 
     >>> vms = EntryVms(clock=lambda: 0.0)
     >>> info = VmInfo(vm_id="a", incarnation="1", failure_domain="d1", agent_address="127.0.0.1:1",
@@ -66,10 +67,11 @@
     ['a']
     """
 
-    __slots__ = ("_clock", "_heard_at", "_infos", "_listed", "_successors")
+    __slots__ = ("_clock", "_heard_at", "_heard_for_s", "_infos", "_listed", "_successors")
 
-    def __init__(self, *, clock) -> None:
+    def __init__(self, *, clock, heard_for_s: float = HEARD_FOR_S) -> None:
         self._clock = clock
+        self._heard_for_s = heard_for_s
         self._infos: dict[str, VmInfo] = {}
         self._heard_at: dict[str, float] = {}
         self._listed: dict[str, str] = {}
@@ -105,7 +107,7 @@
             listed = self._listed.get(vm_id)
             if listed == "leaving":
                 continue
-            if not self._is_heard(vm_id, HEARD_FOR_S) and listed != "live":
+            if not self._is_heard(vm_id, self._heard_for_s) and listed != "live":
                 continue
             live.append(info)
         return live
--- a/src/jasmineseam/operations/daemon.py
+++ b/src/jasmineseam/operations/daemon.py
@@ -29,6 +29,7 @@
 from .metrics import add_counter
 from .metrics import add_gauge
 from .metrics import set_up_metrics
+from .settings import MetricSettings
 from .settings import Settings
 from .settings import load_settings
 
@@ -39,21 +40,32 @@
 class Daemon(mode.Service):
     """Base of the programs: a control address, a dump, metrics and a planned stop.
 
-    :param settings: of the VM.
+    :param vm_id: the VM's id.
+    :param address: the IP to bind to.
+    :param metric_settings: where metrics go.
     :param role: the program's name.
     :param control_port: where other processes reach this one.
     """
 
     abstract = True
 
-    def __init__(self, *, settings: Settings, role: str, control_port: int) -> None:
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        address: str,
+        metric_settings: MetricSettings,
+        role: str,
+        control_port: int,
+    ) -> None:
         super().__init__()
-        self.settings = settings
+        self._vm_id = vm_id
+        self._address = address
         self.role = role
         self.incarnation = secrets.token_hex(8)
         self.began_at = time.monotonic()
         self.logger = logbook.Logger(role)
-        self.metrics = set_up_metrics(settings.metrics)
+        self.metrics = set_up_metrics(metric_settings)
         self._control_port = control_port
         self._context = zmq.asyncio.Context()
         self.links = PeerLinks(context=self._context)
@@ -63,7 +75,7 @@
         """Bind the control address and serve it."""
         self.peer_server = PeerServer(
             context=self._context,
-            host=self.settings.vm.address,
+            host=self._address,
             port=self._control_port,
             handler=self._handle_message,
         )
@@ -78,6 +90,9 @@
     async def stop_gracefully(self) -> None:
         """Do what a planned stop needs; programs override this."""
 
+    def reload(self) -> None:
+        """Read changed settings; programs that can do so override this."""
+
     def describe(self) -> dict[str, t.Any]:
         """Return the state for a dump; programs override this."""
         return {}
@@ -86,7 +101,7 @@
         """Return the state as a JSON document."""
         document = {
             "role": self.role,
-            "vm": self.settings.vm.id,
+            "vm": self._vm_id,
             "incarnation": self.incarnation,
             "uptime_s": round(time.monotonic() - self.began_at, 3),
             "invariant_violations": dict(invariants.violations),
@@ -135,9 +150,14 @@
     def show() -> None:
         daemon.logger.info("State: {}", daemon.dump())
 
+    def reload() -> None:
+        daemon.logger.info("Reload asked for.")
+        daemon.reload()
+
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop)
     loop.add_signal_handler(signal.SIGUSR1, show)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     await daemon.start()
     gc.collect()
     gc.freeze()
@@ -164,8 +184,13 @@
 def run_daemon(make: t.Callable[[Settings], Daemon], settings: Settings) -> t.NoReturn:
     """Run a daemon until it is stopped, and end the process."""
     set_up_logs(settings.logs)
-    invariants.set_fatal(settings.fatal_invariants)
-    sys.exit(asyncio.run(_live(make(settings))))
+    run_process(lambda: make(settings), fatal_invariants=settings.fatal_invariants)
+
+
+def run_process(make: t.Callable[[], Daemon], *, fatal_invariants: bool) -> t.NoReturn:
+    """Run a daemon whose logs are set up, and end the process."""
+    invariants.set_fatal(fatal_invariants)
+    sys.exit(asyncio.run(_live(make())))
 
 
 def load_or_exit(path: pathlib.Path) -> Settings:
--- a/src/jasmineseam/operations/logs.py
+++ b/src/jasmineseam/operations/logs.py
@@ -8,6 +8,7 @@
 import logbook.compat
 import msgspec
 
+from .output import LineOutput
 from .settings import LogSettings
 
 TEXT_FORMAT = (
@@ -31,6 +32,25 @@
     handler.push_application()
 
 
+class _BufferedHandler(logbook.Handler):
+    """Hands lines to an output that never blocks."""
+
+    def __init__(self, output: LineOutput, level: int) -> None:
+        super().__init__(level=level)
+        self._output = output
+        self.formatter = _format_json
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        self._output.write(self.format(record).encode())
+
+
+def set_up_node_logs(settings: LogSettings, output: LineOutput) -> None:
+    """Send all logs of this process, as JSON, to a buffered output."""
+    logbook.compat.redirect_logging()
+    level = logbook.lookup_level(settings.level.upper())
+    _BufferedHandler(output, level).push_application()
+
+
 def _format_json(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
     line = {
         "time": record.time.isoformat(),
--- a/src/jasmineseam/operations/metrics.py
+++ b/src/jasmineseam/operations/metrics.py
@@ -4,7 +4,9 @@
 
 import typing as t
 
+import prometheus_client
 from opentelemetry import metrics
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import ConsoleMetricExporter
 from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
@@ -16,8 +18,10 @@
 
 def set_up_metrics(settings: MetricSettings) -> MeterProvider:
     """Build the provider that exports where the settings say."""
-    readers = []
-    if settings.exporter != "none":
+    readers: list[t.Any] = []
+    if settings.exporter == "prometheus":
+        readers.append(PrometheusMetricReader())
+    elif settings.exporter != "none":
         interval_ms = settings.interval_s * 1000
         exporter = _make_exporter(settings)
         readers.append(PeriodicExportingMetricReader(exporter, export_interval_millis=interval_ms))
@@ -33,6 +37,11 @@
     return OTLPMetricExporter(endpoint=settings.endpoint)
 
 
+def render_metrics() -> bytes:
+    """Return all metrics as a page for scraping; for the ``prometheus`` exporter."""
+    return prometheus_client.generate_latest()
+
+
 def add_counter(provider: MeterProvider, name: str, unit: str, text: str, read: Read) -> None:
     """Export a monotonic sum.
 
--- a/src/jasmineseam/operations/settings.py
+++ b/src/jasmineseam/operations/settings.py
@@ -112,7 +112,7 @@
     :param endpoint: for ``otlp``, where the collector answers.
     """
 
-    exporter: t.Literal["none", "console", "otlp"] = "none"
+    exporter: t.Literal["none", "console", "otlp", "prometheus"] = "none"
     endpoint: Url = "http://127.0.0.1:4318/v1/metrics"
     interval_s: Seconds = 60.0
 
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -12,6 +12,8 @@
 from ..catalogue.records import EntryState
 from ..catalogue.records import Snapshot
 from ..exceptions import MessageInvalidError
+from ..membership.registry import Listing
+from ..membership.registry import ServerChange
 from ..membership.servers import LeavingSign
 from ..membership.servers import Server
 from ..membership.vms import EntryProcess
@@ -19,6 +21,7 @@
 from ..membership.vms import VmInfo
 from ..requests.ledger import LedgerCopy
 from ..requests.outcome import Answer
+from ..routing.routes import RoutingTable
 
 PROTOCOL_VERSION = 1
 
@@ -168,6 +171,72 @@
     processes: list[ProcessRevision]
 
 
+class NodeGossip(Message, tag="node-gossip"):
+    """A node tells a peer of itself and of what it holds; the reply is the same.
+
+    :param peers: addresses of the nodes that it knows.
+    :param table_version: of the routing table that it holds, -1 for none.
+    :param servers_age_s: time since its list of servers was confirmed, in seconds.
+    :param table: in a reply, if the asker's is older.
+    :param listings: in a reply, if the asker's list is older.
+    :param servers_position: where in the store the list's changes go on.
+    """
+
+    vm: VmInfo
+    peers: list[str]
+    table_version: int = -1
+    servers_age_s: float = float("inf")
+    table: RoutingTable | None = None
+    listings: list[Listing] | None = None
+    servers_position: int = -1
+
+
+class TableNotice(Message, tag="table"):
+    """A node has found a newer routing table."""
+
+    table: RoutingTable
+
+
+class ServersNotice(Message, tag="servers"):
+    """A node has read the changes of the list of servers.
+
+    :param begin: position that the changes begin at.
+    :param end: position after them.
+    :param age_s: time since the read began, in seconds.
+    """
+
+    begin: int
+    end: int
+    age_s: float
+    changes: list[ServerChange]
+
+
+class LoadReportItem(msgspec.Struct, array_like=True, frozen=True):
+    """One server's load as a node has learnt it.
+
+    :param slowness_pct: time that work takes, in percent of the usual.
+    :param age_ms: time since the server said so, in milliseconds.
+    """
+
+    server_id: str
+    running: int
+    waiting: int
+    slots: int
+    slowness_pct: int
+    age_ms: int
+
+
+class LoadNotice(Message, tag="load", rename={"vm_id": "vm", "reports": "r", "counts": "c"}):
+    """What a node has learnt of the servers' load since its last notice.
+
+    :param counts: its own requests at each server whose number has changed.
+    """
+
+    vm_id: str
+    reports: list[LoadReportItem]
+    counts: list[tuple[str, int]]
+
+
 class DumpRequest(Message, tag="dump-request"):
     """Asks a process for its state."""
 
@@ -196,6 +265,10 @@
     | LedgerConfirmation
     | InForceRequest
     | InForceReply
+    | NodeGossip
+    | TableNotice
+    | ServersNotice
+    | LoadNotice
     | DumpRequest
     | DumpReply
     | Refused
--- a/src/jasmineseam/platform/__init__.py
+++ b/src/jasmineseam/platform/__init__.py
@@ -1,1 +1,4 @@
-"""Adapters to the platform's services: the append-only log and the list of VMs."""
+"""Translation between the users' platform and the product.
+
+Every name that the platform puts on the wire is read or written here and nowhere else.
+"""
--- /dev/null
+++ b/src/jasmineseam/platform/records.py
@@ -0,0 +1,179 @@
+"""Records of the platform's store, decoded into the product's types."""
+
+from __future__ import annotations
+
+import typing as t
+
+import msgspec
+
+from ..exceptions import RecordInvalidError
+from ..membership.registry import Listing
+from ..membership.registry import ServerChange
+from ..membership.servers import Server
+from ..routing.routes import CallerLimits
+from ..routing.routes import Route
+from ..routing.routes import RoutingTable
+from ..routing.routes import ServiceInfo
+from ..routing.routes import WeightedService
+from .settings import parse_duration
+from .store import KeyedRecord
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+SERVERS_TOPIC = "keyed.servers"
+NODES_TOPIC = "keyed.nodes"
+
+Address = t.Annotated[str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
+Count = t.Annotated[int, msgspec.Meta(ge=0)]
+PositiveCount = t.Annotated[int, msgspec.Meta(ge=1)]
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: t.Annotated[float, msgspec.Meta(ge=0.0)]
+
+
+class _Route(
+    msgspec.Struct,
+    rename={
+        "kind": "type",
+        "prefix": "path-prefix",
+        "target": "target-latency",
+        "max_attempts": "max-attempts",
+        # the services that share the route's requests
+        "parts": "backends",
+    },
+):
+    name: str
+    host: str
+    prefix: t.Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?$")]
+    kind: str
+    timeout: str | None = None
+    target: str | None = None
+    priority: Count = 0
+    max_attempts: PositiveCount = 1
+    service: str | None = None
+    parts: list[_Part] = []
+
+
+class _Service(msgspec.Struct, rename={"health_path": "health-path", "max_conns": "max-conns"}):
+    name: str
+    health_path: str = "/"
+    # of one instance, from all callers together
+    max_conns: Count = 0
+
+
+class _Limits(msgspec.Struct, rename="kebab"):
+    max_header_bytes: PositiveCount = 16_384
+    max_body_bytes: PositiveCount = 67_108_864
+    header_timeout: str = "10s"
+    idle_timeout: str = "60s"
+
+
+class _Configuration(msgspec.Struct):
+    # eight hexadecimal digits
+    version: t.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F]{1,16}$")]
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Instance(msgspec.Struct, rename={"warmup_left": "warmup-left"}):
+    service: t.Annotated[str, msgspec.Meta(min_length=1)]
+    address: Address
+    zone: str
+    slots: PositiveCount
+    state: t.Literal["ready", "draining"]
+    sequence: Count
+    # Unix milliseconds of the instance's start
+    born: Count = 0
+    warmup_left: str = "0ms"
+
+
+def decode_configuration(value: bytes) -> RoutingTable:
+    """Decode the operator's configuration.
+
+    :raises RecordInvalidError: if it makes no sense as a whole.
+    """
+    try:
+        configuration = msgspec.json.decode(value, type=_Configuration)
+        limits = configuration.limits
+        return RoutingTable(
+            version=int(configuration.version, 16),
+            routes=[_translate_route(route) for route in configuration.routes],
+            services=[
+                ServiceInfo(
+                    name=service.name,
+                    health_path=service.health_path,
+                    max_connections=service.max_conns,
+                )
+                for service in configuration.services
+            ],
+            limits=CallerLimits(
+                header_bytes=limits.max_header_bytes,
+                body_bytes=limits.max_body_bytes,
+                header_timeout_s=parse_duration(limits.header_timeout),
+                idle_timeout_s=parse_duration(limits.idle_timeout),
+            ),
+        )
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise RecordInvalidError(CONFIGURATION_KEY, str(error)) from error
+
+
+def decode_listing(record: KeyedRecord) -> Listing:
+    """Decode a backend server's entry.
+
+    :raises RecordInvalidError: if it names no usable server.
+    """
+    try:
+        instance = msgspec.json.decode(record.value, type=_Instance)
+        warmup_s = parse_duration(instance.warmup_left)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise RecordInvalidError(record.key, str(error)) from error
+    server = Server(
+        server_id=record.key,
+        service=instance.service,
+        address=instance.address,
+        failure_domain=instance.zone,
+        leaving=instance.state == "draining",
+    )
+    return Listing(
+        server=server,
+        slots=instance.slots,
+        warmup_s=warmup_s,
+        started_ms=instance.born,
+        sequence=instance.sequence,
+    )
+
+
+def decode_change(record: KeyedRecord) -> tuple[ServerChange, RecordInvalidError | None]:
+    """Decode one change of the list of servers, and what is wrong with it.
+
+    An entry that makes no sense names no server, whatever stood there before.
+    """
+    if not record.value:
+        return ServerChange(server_id=record.key), None
+    try:
+        return ServerChange(server_id=record.key, listing=decode_listing(record)), None
+    except RecordInvalidError as error:
+        return ServerChange(server_id=record.key), error
+
+
+def _translate_route(route: _Route) -> Route:
+    parts = [WeightedService(service=part.service, weight=part.weight) for part in route.parts]
+    if not parts:
+        if route.service is None:
+            raise ValueError(f"route {route.name!r} names no service")
+        parts = [WeightedService(service=route.service)]
+    return Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.prefix,
+        # large responses are as repeatable as any other that is safe
+        idempotent=route.kind in ("safe", "download"),
+        services=parts,
+        max_attempts=route.max_attempts,
+        priority=route.priority,
+        timeout_s=None if route.timeout is None else parse_duration(route.timeout),
+        target_s=None if route.target is None else parse_duration(route.target),
+    )
--- /dev/null
+++ b/src/jasmineseam/platform/settings.py
@@ -0,0 +1,146 @@
+"""The platform's settings file, TOML, named by an environment variable."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import re
+import tomllib
+import typing as t
+
+import msgspec
+
+from ..exceptions import Fault
+from ..exceptions import SettingsError
+from ..operations.node_settings import NodeListeners
+from ..operations.node_settings import NodeSettings
+from ..operations.node_settings import NodeVm
+from ..operations.node_settings import RetryLimits
+
+FILE_VARIABLE = "JASMINESEAM_NODE_FILE"
+_DURATION = re.compile(r"^([0-9]+(?:\.[0-9]+)?)(ms|s)$")
+_UNITS_S = {"ms": 0.001, "s": 1.0}
+
+
+class _Self(msgspec.Struct, rename={"name": "node-name", "first_start": "bootstrap"}):
+    name: str
+    ip: str
+    zone: str
+    first_start: bool = False
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+    # spoken to by the other nodes only
+    control: str
+    directory: str
+
+
+class _Network(msgspec.Struct):
+    listen: _Listen
+    seeds: list[str] = []
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _Platform(msgspec.Struct):
+    # the settings name the store like the table that holds it
+    platform: _Store
+
+
+class _Bounds(
+    msgspec.Struct,
+    rename={
+        "ratio": "retry-budget-ratio",
+        "slack": "retry-budget-slack",
+        "window": "budget-window",
+        "probes_per_s": "probes-per-s",
+    },
+):
+    grace: str
+    ttl_max: str
+    ratio: float = 0.0
+    slack: float = 0.0
+    window: str = "10s"
+    probes_per_s: float = 0.0
+
+
+class _Terms(msgspec.Struct):
+    bounds: _Bounds
+
+
+class _File(msgspec.Struct, rename={"own": "self"}):
+    own: _Self
+    network: _Network
+    platform: _Platform
+    terms: _Terms
+
+
+def parse_duration(text: str) -> float:
+    """Return a duration in seconds.
+
+    :param text: a number with its unit, ``ms`` or ``s``.
+    :raises ValueError: if it is something else.
+
+    >>> parse_duration("1500ms"), parse_duration("2.5s")
+    (1.5, 2.5)
+    """
+    match = _DURATION.match(text)
+    if match is None:
+        raise ValueError(f"{text!r} is no duration in ms or s")
+    return float(match[1]) * _UNITS_S[match[2]]
+
+
+def parse_settings(text: str, source: str) -> NodeSettings:
+    """Decode a settings file; fields that are not needed are ignored.
+
+    :raises SettingsError: if it is not TOML, or lacks what a node needs.
+    """
+    try:
+        file = msgspec.convert(tomllib.loads(text), _File)
+        return _translate(file)
+    except (ValueError, msgspec.ValidationError) as error:
+        fault = Fault("document", str(error), "the settings of a node")
+        raise SettingsError(source, [fault]) from error
+
+
+def load_settings(environment: t.Mapping[str, str] = os.environ) -> NodeSettings:
+    """Read the file that the environment names.
+
+    :raises SettingsError: if it can't be read or decoded.
+    """
+    path = environment.get(FILE_VARIABLE, "")
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeError) as error:
+        source = path or FILE_VARIABLE
+        raise SettingsError(source, [Fault("file", str(error), "a readable file")]) from error
+    return parse_settings(text, path)
+
+
+def _translate(file: _File) -> NodeSettings:
+    bounds = file.terms.bounds
+    listen = file.network.listen
+    return NodeSettings(
+        vm=NodeVm(id=file.own.name, address=file.own.ip, failure_domain=file.own.zone),
+        listeners=NodeListeners(
+            entry=listen.front,
+            readiness=listen.ready,
+            locator=listen.directory,
+            peers=listen.control,
+        ),
+        store_address=file.platform.platform.address,
+        seed_peers=file.network.seeds,
+        retries=RetryLimits(
+            share=bounds.ratio,
+            allowance=bounds.slack,
+            window_s=parse_duration(bounds.window),
+        ),
+        probes_per_s=bounds.probes_per_s,
+        grace_s=parse_duration(bounds.grace),
+        longest_lifetime_s=parse_duration(bounds.ttl_max),
+        first_start=file.own.first_start,
+    )
--- a/src/jasmineseam/programs/agent.py
+++ b/src/jasmineseam/programs/agent.py
@@ -16,13 +16,13 @@
 from ..membership.servers import Servers
 from ..membership.vms import EntryVms
 from ..membership.vms import VmInfo
-from ..operations.daemon import Daemon
 from ..operations.daemon import load_or_exit
 from ..operations.daemon import run_command
 from ..operations.daemon import run_daemon
 from ..operations.metrics import add_counter
 from ..operations.metrics import add_gauge
 from ..operations.settings import Settings
+from ..operations.vm_daemon import VmDaemon
 from ..peers.messages import Gossip
 from ..peers.messages import InForceReply
 from ..peers.messages import InForceRequest
@@ -33,9 +33,9 @@
 from ..peers.messages import SnapshotRequest
 from ..peers.messages import Sync
 from ..peers.messages import SyncReply
-from ..platform.log import LogClient
-from ..platform.vmlist import VmList
-from ..platform.vmlist import VmListClient
+from ..standalone.log import LogClient
+from ..standalone.vmlist import VmList
+from ..standalone.vmlist import VmListClient
 from .catalogue_reader import CatalogueReader
 from .locals import LocalPrograms
 from .prober import Prober
@@ -49,7 +49,7 @@
 STOP_GRACE_S = 0.5
 
 
-class Agent(Daemon):
+class Agent(VmDaemon):
     """Follows the platform, holds membership, and feeds its VM's programs.
 
     :param settings: of the VM.
--- /dev/null
+++ b/src/jasmineseam/programs/bodies.py
@@ -0,0 +1,40 @@
+"""Reading a request's body from a caller."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+from ..exceptions import NotRunError
+
+BODY_CHUNK_BYTES = 65_536
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+async def read_body(request: web.BaseRequest, limit: int, timeout_s: float) -> bytes:
+    """Read a whole body.
+
+    :param limit: the largest body that is taken, in bytes.
+    :param timeout_s: the longest that the caller may take.
+    :raises NotRunError: if it is too large, too slow or malformed.
+    """
+    length = request.content_length
+    if length is not None and length > limit:
+        raise NotRunError("body-too-large", 413)
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(CONTINUE)
+    chunks = []
+    size = 0
+    try:
+        async with asyncio.timeout(timeout_s):
+            while chunk := await request.content.read(BODY_CHUNK_BYTES):
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > limit:
+                    raise NotRunError("body-too-large", 413)
+    except TimeoutError as error:
+        raise NotRunError("body-timeout", 408) from error
+    except (OSError, ValueError, web.HTTPException) as error:
+        raise NotRunError("body-malformed", 400) from error
+    return b"".join(chunks)
--- a/src/jasmineseam/programs/catalogue_reader.py
+++ b/src/jasmineseam/programs/catalogue_reader.py
@@ -17,8 +17,8 @@
 from ..catalogue.records import split_snapshot
 from ..exceptions import LogUnavailableError
 from ..exceptions import RecordsTrimmedError
-from ..platform.log import CATALOGUE_STREAM
-from ..platform.log import LogClient
+from ..standalone.log import CATALOGUE_STREAM
+from ..standalone.log import LogClient
 
 POLL_S = 0.25
 RETRY_S = 0.5
--- a/src/jasmineseam/programs/ctl.py
+++ b/src/jasmineseam/programs/ctl.py
@@ -27,7 +27,7 @@
 from ..operations.settings import Settings
 from ..peers.messages import DumpReply
 from ..peers.messages import DumpRequest
-from ..platform.log import CATALOGUE_STREAM
+from ..standalone.log import CATALOGUE_STREAM
 from .operator import Operator
 from .operator import Report
 
--- a/src/jasmineseam/programs/entry.py
+++ b/src/jasmineseam/programs/entry.py
@@ -16,7 +16,6 @@
 from ..membership.vms import EntryProcess
 from ..membership.vms import Successor
 from ..operations.daemon import EXIT_USAGE
-from ..operations.daemon import Daemon
 from ..operations.daemon import load_or_exit
 from ..operations.daemon import run_command
 from ..operations.daemon import run_daemon
@@ -24,6 +23,7 @@
 from ..operations.metrics import add_gauge
 from ..operations.settings import EntryProcessSettings
 from ..operations.settings import Settings
+from ..operations.vm_daemon import VmDaemon
 from ..peers.messages import ForwardedAnswer
 from ..peers.messages import ForwardedRequest
 from ..peers.messages import LedgerHandover
@@ -44,7 +44,7 @@
 LIFETIME_MARGIN_S = 1.0
 
 
-class Entry(Daemon):
+class Entry(VmDaemon):
     """One entry process.
 
     :param settings: of the VM.
--- a/src/jasmineseam/programs/forwarding.py
+++ b/src/jasmineseam/programs/forwarding.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections
 import time
 import typing as t
@@ -32,6 +31,7 @@
 from .attempts import SERVER_ERRORS
 from .attempts import OpenAnswer
 from .attempts import Sender
+from .bodies import read_body
 from .hedge import race_attempts
 from .homes import Homes
 from .mirror import Mirror
@@ -40,8 +40,6 @@
 KEYED_ANSWER_BYTES = 16 * 1024 * 1024
 STARTING_RETRY_AFTER_S = 1.0
 NO_SERVER_RETRY_AFTER_S = 1.0
-BODY_CHUNK_BYTES = 65_536
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NOT_ASKED_HOME = frozenset({"starting", "no-such-service"})
 
 
@@ -169,30 +167,10 @@
         inbound.key = headers.get(KEY_HEADER, "")
         inbound.extra = EXTRA_ATTEMPT_HEADER in headers
         if request.body_exists:
-            inbound.body = await self._read_body(request, inbound.entry.limits.body_bytes)
+            limit = inbound.entry.limits.body_bytes
+            inbound.body = await read_body(request, limit, self._body_timeout_s)
         return inbound
 
-    async def _read_body(self, request: web.BaseRequest, limit: int) -> bytes:
-        length = request.content_length
-        if length is not None and length > limit:
-            raise NotRunError("body-too-large", 413)
-        if request.headers.get("Expect", "").lower() == "100-continue":
-            await request.writer.write(CONTINUE)
-        chunks = []
-        size = 0
-        try:
-            async with asyncio.timeout(self._body_timeout_s):
-                while chunk := await request.content.read(BODY_CHUNK_BYTES):
-                    chunks.append(chunk)
-                    size += len(chunk)
-                    if size > limit:
-                        raise NotRunError("body-too-large", 413)
-        except TimeoutError as error:
-            raise NotRunError("body-timeout", 408) from error
-        except (OSError, ValueError, web.HTTPException) as error:
-            raise NotRunError("body-malformed", 400) from error
-        return b"".join(chunks)
-
     async def _run(
         self, inbound: InboundRequest, request: web.BaseRequest
     ) -> Answer | web.StreamResponse:
--- a/src/jasmineseam/programs/locator.py
+++ b/src/jasmineseam/programs/locator.py
@@ -11,12 +11,12 @@
 
 from ..membership.naming import NamedEntry
 from ..membership.naming import rank_entries
-from ..operations.daemon import Daemon
 from ..operations.daemon import load_or_exit
 from ..operations.daemon import run_command
 from ..operations.daemon import run_daemon
 from ..operations.metrics import add_counter
 from ..operations.settings import Settings
+from ..operations.vm_daemon import VmDaemon
 from ..peers.messages import Sync
 from .mirror import Mirror
 
@@ -36,7 +36,7 @@
     lifetime_s: float
 
 
-class Locator(Daemon):
+class Locator(VmDaemon):
     """Answers ``GET /v1/entries?failure_domain=...``.
 
     :param settings: of the VM.
--- /dev/null
+++ b/src/jasmineseam/programs/mesh.py
@@ -0,0 +1,220 @@
+"""Links between nodes: who is there, and what one has learnt that the others should know."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import typing as t
+
+import logbook
+
+from ..exceptions import PeerError
+from ..membership.registry import Listing
+from ..membership.vms import EntryVms
+from ..membership.vms import VmInfo
+from ..peers.links import PeerLinks
+from ..peers.messages import LoadNotice
+from ..peers.messages import Message
+from ..peers.messages import NodeGossip
+from ..routing.routes import RoutingTable
+
+GOSSIP_PERIOD_S = 0.5
+GOSSIP_TIMEOUT_S = 0.5
+HEARD_FOR_S = 1.3
+FORGOTTEN_AFTER_S = 30.0
+# a peer whose list of servers is older than one's own by so much is given the whole list
+LIST_LAG_S = 1.5
+_logger = logbook.Logger("mesh")
+
+
+class Mesh:
+    """The node's links to all other nodes.
+
+    :param links: the process's links.
+    :param own_address: where the other nodes reach this one.
+    :param describe: returns what the node says of itself.
+    :param on_table: called with a newer routing table.
+    :param on_listings: called with a whole list of servers, its position and its age.
+    """
+
+    def __init__(
+        self,
+        *,
+        links: PeerLinks,
+        own_address: str,
+        describe: t.Callable[[], VmInfo],
+        on_table: t.Callable[[RoutingTable, str], None],
+        on_listings: t.Callable[[list[Listing], int, float], None],
+    ) -> None:
+        self._links = links
+        self._own_address = own_address
+        self._describe = describe
+        self._on_table = on_table
+        self._on_listings = on_listings
+        self.vms = EntryVms(clock=time.monotonic, heard_for_s=HEARD_FOR_S)
+        self._tasks: dict[str, asyncio.Task] = {}
+        self._wanted: dict[str, asyncio.Event] = {}
+        self._met_at: dict[str, float] = {}
+        # what this node holds, set by its owner
+        self.table: RoutingTable | None = None
+        self.get_servers_age_s: t.Callable[[], float] = lambda: float("inf")
+        self.list_servers: t.Callable[[], tuple[list[Listing], int]] = lambda: ([], -1)
+
+    def meet(self, address: str) -> None:
+        """Begin to talk with the node at an address."""
+        if address == self._own_address:
+            return
+        self._met_at[address] = time.monotonic()
+        if address in self._tasks:
+            return
+        self._wanted[address] = asyncio.Event()
+        self._tasks[address] = asyncio.create_task(self._gossip_with(address))
+
+    def hurry(self) -> None:
+        """Tell all peers at once of a change."""
+        for wanted in self._wanted.values():
+            wanted.set()
+
+    async def tell_all(self) -> None:
+        """Tell all peers, and wait until they have heard."""
+        tells = [self._tell(address) for address in list(self._tasks)]
+        await asyncio.gather(*tells, return_exceptions=True)
+
+    async def notify_all(self, message: Message) -> None:
+        """Send a message without reply to every live peer."""
+        for vm in self.vms.list_live():
+            if vm.agent_address == self._own_address:
+                continue
+            await self._links.get(vm.agent_address).notify(message)
+
+    def list_peer_addresses(self) -> list[str]:
+        """Return the addresses of the peers that are heard."""
+        return [vm.agent_address for vm in self.vms.list_known() if self._is_heard(vm)]
+
+    def list_live(self) -> list[VmInfo]:
+        """Return the nodes that callers may be sent to, this one included if it is ready."""
+        own = self._describe()
+        live = [vm for vm in self.vms.list_live() if vm.vm_id != own.vm_id]
+        if own.ready and not own.leaving:
+            live.append(own)
+        return live
+
+    def count_known(self) -> int:
+        """Return how many nodes share the work, those out of reach included."""
+        known = {vm.vm_id for vm in self.vms.list_known() if not vm.leaving}
+        known.add(self._describe().vm_id)
+        return len(known)
+
+    def take_gossip(self, message: NodeGossip) -> NodeGossip:
+        """Learn from a peer's word, and answer with what it lacks."""
+        self._learn(message)
+        reply = self._build()
+        if self.table is not None and message.table_version < self.table.version:
+            reply.table = self.table
+        if message.servers_age_s > reply.servers_age_s + LIST_LAG_S:
+            reply.listings, reply.servers_position = self.list_servers()
+        return reply
+
+    def forget(self) -> None:
+        """Stop talking with nodes that have left or were not heard for long."""
+        self.vms.take_list({})
+        now = time.monotonic()
+        known = {vm.agent_address for vm in self.vms.list_known()}
+        for address in list(self._tasks):
+            if address in known or now - self._met_at[address] < FORGOTTEN_AFTER_S:
+                continue
+            self._tasks.pop(address).cancel()
+            del self._wanted[address]
+            del self._met_at[address]
+        self._links.keep(set(self._tasks))
+
+    def close(self) -> None:
+        """Stop all talk."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _is_heard(self, vm: VmInfo) -> bool:
+        return self.vms.get_age_s(vm.vm_id) < HEARD_FOR_S
+
+    def _build(self) -> NodeGossip:
+        return NodeGossip(
+            vm=self._describe(),
+            peers=self.list_peer_addresses(),
+            table_version=-1 if self.table is None else self.table.version,
+            servers_age_s=self.get_servers_age_s(),
+        )
+
+    def _learn(self, message: NodeGossip) -> None:
+        known = {vm.vm_id for vm in self.vms.list_known()}
+        if self.vms.hear(message.vm) and message.vm.vm_id not in known:
+            _logger.info("Heard of node {} at {}.", message.vm.vm_id, message.vm.agent_address)
+        self.meet(message.vm.agent_address)
+        for address in message.peers:
+            self.meet(address)
+
+    async def _gossip_with(self, address: str) -> None:
+        wanted = self._wanted[address]
+        reached = True
+        while True:
+            wanted.clear()
+            try:
+                await self._tell(address)
+                if not reached:
+                    _logger.info("Peer {} answers again.", address)
+                reached = True
+            except PeerError as error:
+                if reached:
+                    _logger.warning("Peer {} does not answer: {}", address, error)
+                reached = False
+            try:
+                async with asyncio.timeout(GOSSIP_PERIOD_S):
+                    await wanted.wait()
+            except TimeoutError:
+                continue
+
+    async def _tell(self, address: str) -> None:
+        reply = await self._links.get(address).request(self._build(), GOSSIP_TIMEOUT_S)
+        if not isinstance(reply, NodeGossip):
+            return
+        self._learn(reply)
+        if reply.table is not None:
+            self._on_table(reply.table, reply.vm.vm_id)
+        if reply.listings is not None:
+            self._on_listings(reply.listings, reply.servers_position, reply.servers_age_s)
+
+
+class LoadNews:
+    """Collects what a node learns of load between two notices to its peers."""
+
+    __slots__ = ("_counts", "_reports", "_sent_counts")
+
+    def __init__(self) -> None:
+        self._reports: dict[str, tuple[t.Any, float]] = {}
+        self._counts: dict[str, int] = {}
+        self._sent_counts: dict[str, int] = {}
+
+    def note_report(self, server_id: str, report: t.Any, observed_at: float) -> None:
+        """Note a server's own report."""
+        self._reports[server_id] = (report, observed_at)
+
+    def note_count(self, server_id: str, count: int) -> None:
+        """Note how many requests of this node a server holds."""
+        self._counts[server_id] = count
+
+    def take(self, vm_id: str, now: float, make_item: t.Callable) -> LoadNotice | None:
+        """Return the notice of what is new, ``None`` if nothing is."""
+        counts = [
+            (server_id, count)
+            for server_id, count in self._counts.items()
+            if self._sent_counts.get(server_id) != count
+        ]
+        if not counts and not self._reports:
+            return None
+        reports = [
+            make_item(server_id, report, now - observed_at)
+            for server_id, (report, observed_at) in self._reports.items()
+        ]
+        self._sent_counts.update(counts)
+        self._counts.clear()
+        self._reports.clear()
+        return LoadNotice(vm_id=vm_id, reports=reports, counts=counts)
--- /dev/null
+++ b/src/jasmineseam/programs/node.py
@@ -0,0 +1,454 @@
+"""A node: entry, agent and locator in one process, for VMs that run one process of the system."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+import typing as t
+
+from aiohttp import web
+
+from ..measuring.duty import Prober
+from ..measuring.reports import ServerReport
+from ..membership.registry import Listing
+from ..membership.registry import Registry
+from ..membership.vms import EntryProcess
+from ..membership.vms import VmInfo
+from ..operations.daemon import Daemon
+from ..operations.journal import RequestJournal
+from ..operations.metrics import add_counter
+from ..operations.metrics import add_gauge
+from ..operations.metrics import render_metrics
+from ..operations.node_settings import NodeOptions
+from ..operations.node_settings import NodeSettings
+from ..operations.output import LineOutput
+from ..peers.messages import LoadNotice
+from ..peers.messages import LoadReportItem
+from ..peers.messages import Message
+from ..peers.messages import NodeGossip
+from ..peers.messages import Refused
+from ..peers.messages import ServersNotice
+from ..peers.messages import TableNotice
+from ..routing.routes import RoutingTable
+from .gateway import Gateway
+from .gateway import Protocol
+from .load_prober import LoadProber
+from .mesh import HEARD_FOR_S
+from .mesh import LoadNews
+from .mesh import Mesh
+from .store_follower import NodeRecord
+from .store_follower import Store
+from .store_follower import StoreFollower
+
+NEWS_PERIOD_S = 0.015
+UPKEEP_PERIOD_S = 0.5
+# a peer's report that is older on arrival tells nothing of the present
+MAX_REPORT_AGE_S = 1.0
+KEEPALIVE_S = 75.0
+MAX_HEAD_BYTES = 65_536
+BACKLOG = 1024
+STOP_CHECK_S = 0.02
+# parts of the grace period: callers are told of the stop, new connections are refused, the end
+LISTEN_SHARE = 0.45
+END_SHARE = 0.94
+
+
+class Interface(t.NamedTuple):
+    """How a node is asked for its readiness and for entries.
+
+    :param readiness_path: where readiness is asked for.
+    :param locator_path: where entries are asked for.
+    :param get_caller_domain: reads the asking caller's failure domain from the query.
+    :param encode_entries: writes entries' addresses and their lifetime in seconds.
+    """
+
+    readiness_path: str
+    locator_path: str
+    get_caller_domain: t.Callable[[t.Mapping[str, str]], str]
+    encode_entries: t.Callable[[list[str], float], bytes]
+
+
+class Node(Daemon):
+    """One node.
+
+    :param settings: of the deployment.
+    :param options: the operator's own.
+    :param make_store: opens the metadata store; called once the loop runs.
+    :param close_store: closes it.
+    :param protocol: of callers and servers.
+    :param interface: of readiness checks and of callers that ask for entries.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        options: NodeOptions,
+        make_store: t.Callable[[], tuple[Store, t.Callable[[], t.Awaitable[None]]]],
+        protocol: Protocol,
+        interface: Interface,
+        output: LineOutput,
+    ) -> None:
+        port = int(settings.listeners.peers.rpartition(":")[2])
+        super().__init__(
+            vm_id=settings.vm.id,
+            address=settings.vm.address,
+            metric_settings=options.metrics,
+            role="node",
+            control_port=port,
+        )
+        self.settings = settings
+        self.options = options
+        self._make_store = make_store
+        self._protocol = protocol
+        self._interface = interface
+        self._output = output
+        self._leaving = False
+        self._table_ready = asyncio.Event()
+        self._runners: list[web.ServerRunner] = []
+        self._entry_runner: web.ServerRunner | None = None
+        self._chooser = random.Random()
+        self.answered_locations = 0
+        self.registry = Registry(clock=time.monotonic)
+        self.news = LoadNews()
+        self.journal = RequestJournal(write=output.write, lines_per_s=options.log_lines_per_s)
+        self.gateway = Gateway(
+            failure_domain=settings.vm.failure_domain,
+            protocol=protocol,
+            registry=self.registry,
+            retries=settings.retries,
+            news=self.news,
+            journal=self.journal,
+        )
+        self.mesh = Mesh(
+            links=self.links,
+            own_address=settings.listeners.peers,
+            describe=self._describe_self,
+            on_table=self._take_table,
+            on_listings=self._take_listings,
+        )
+        self.mesh.get_servers_age_s = self._get_servers_age_s
+        self.mesh.list_servers = lambda: (self.registry.list_all(), self.registry.position)
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.gateway.table is not None and self.registry.loaded and not self._leaving
+
+    async def on_start(self) -> None:
+        """Listen, and follow the store, the peers and the servers' load."""
+        await super().on_start()
+        store, self._close_store = self._make_store()
+        self.follower = StoreFollower(
+            store=store,
+            registry=self.registry,
+            on_table=self._take_table,
+            notify=self.mesh.notify_all,
+            get_rank=self._get_rank,
+            meet=self.mesh.meet,
+            record=NodeRecord(
+                vm_id=self.settings.vm.id, peer_address=self.settings.listeners.peers
+            ),
+        )
+        self.prober = LoadProber(
+            gateway=self.gateway,
+            protocol=self._protocol,
+            news=self.news,
+            options=self.options.probes,
+            own_id=self.settings.vm.id,
+            limit_per_s=self.settings.probes_per_s,
+            list_probers=self._list_probers,
+        )
+        for address in self.settings.seed_peers:
+            self.mesh.meet(address)
+        for task in (
+            self.follower.follow_table(),
+            self.follower.follow_servers(),
+            self.follower.follow_nodes(lambda: len(self.mesh.vms.list_known()) > 0),
+            self.prober.probe_forever(),
+            self._spread_news(),
+            self._keep_up(),
+            self._output.flush_forever(),
+        ):
+            self.add_future(task)
+        await self._listen()
+        self._add_metrics()
+
+    async def handle(self, message: Message) -> Message | None:
+        """Answer the other nodes."""
+        if isinstance(message, LoadNotice):
+            self._take_load(message)
+            return None
+        if isinstance(message, ServersNotice):
+            self.follower.take_notice(message)
+            self.gateway.refresh()
+            return None
+        if isinstance(message, TableNotice):
+            self._take_table(message.table, "peer")
+            return None
+        if isinstance(message, NodeGossip):
+            return self.mesh.take_gossip(message)
+        return Refused(reason=f"node takes no {type(message).__name__}")
+
+    async def stop_gracefully(self) -> None:
+        """Stop being named, finish what runs, refuse new connections, leave."""
+        began_at = time.monotonic()
+        grace_s = self.settings.grace_s
+        self._leaving = True
+        self.gateway.closing = True
+        self.mesh.hurry()
+        await asyncio.sleep(LISTEN_SHARE * grace_s)
+        self.prober.stopped = True
+        for site in list(self._entry_runner.sites):
+            await site.stop()
+        self._entry_runner.server.pre_shutdown()
+        while time.monotonic() < began_at + END_SHARE * grace_s:
+            if self.gateway.in_flight == 0 and not self._entry_runner.server.connections:
+                break
+            await asyncio.sleep(STOP_CHECK_S)
+        self.logger.info(
+            "Leaves with {} requests unanswered after {:.2f} s.",
+            self.gateway.in_flight,
+            time.monotonic() - began_at,
+        )
+
+    async def on_stop(self) -> None:
+        """Close all listeners and connections."""
+        self.mesh.close()
+        for runner in self._runners:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await runner.cleanup()
+        self.gateway.connections.close()
+        await self._close_store()
+        await super().on_stop()
+        self._output.flush()
+
+    def describe(self) -> dict[str, t.Any]:
+        """Return the state for a dump."""
+        table = self.gateway.table
+        return {
+            "ready": self.ready,
+            "leaving": self._leaving,
+            "table_version": -1 if table is None else table.version,
+            "servers": self.registry.count(),
+            "servers_age_s": round(self.registry.get_age_s(), 3),
+            "in_flight": self.gateway.in_flight,
+            "outcomes": dict(self.gateway.outcomes),
+            "nodes": {
+                vm.vm_id: round(self.mesh.vms.get_age_s(vm.vm_id), 3)
+                for vm in self.mesh.vms.list_known()
+            },
+            "services": {
+                name: {
+                    "queued": dispatcher.count_queued(),
+                    "usual_s": round(dispatcher.usual_s, 4),
+                    "slowness": round(dispatcher.slowness.value, 2),
+                    "servers": {
+                        load.server_id: {
+                            "in_flight": load.count_in_flight(time.monotonic()),
+                            "own": len(load.running),
+                        }
+                        for load in dispatcher.loads.values()
+                    },
+                }
+                for name, dispatcher in self.gateway.dispatchers.items()
+            },
+            "probes": {"sent": self.prober.sent, "failed": self.prober.failed},
+        }
+
+    def _describe_self(self) -> VmInfo:
+        entry = EntryProcess(
+            incarnation=self.incarnation,
+            http_address=self.settings.listeners.entry,
+            control_address=self.settings.listeners.peers,
+            key_prefix="",
+            in_flight=self.gateway.in_flight,
+        )
+        return VmInfo(
+            vm_id=self.settings.vm.id,
+            incarnation=self.incarnation,
+            failure_domain=self.settings.vm.failure_domain,
+            agent_address=self.settings.listeners.peers,
+            ready=self.ready,
+            leaving=self._leaving,
+            entries=[entry],
+        )
+
+    def _get_rank(self) -> int:
+        ids = sorted(vm.vm_id for vm in self.mesh.vms.list_live())
+        own = self.settings.vm.id
+        return sum(vm_id < own for vm_id in ids)
+
+    def _get_servers_age_s(self) -> float:
+        return self.registry.get_age_s() if self.registry.loaded else float("inf")
+
+    def _list_probers(self) -> list[Prober]:
+        vm = self.settings.vm
+        probers = [Prober(vm_id=vm.id, failure_domain=vm.failure_domain)]
+        for info in self.mesh.vms.list_known():
+            if info.leaving or info.vm_id == vm.id:
+                continue
+            reachable = self.mesh.vms.get_age_s(info.vm_id) < HEARD_FOR_S
+            probers.append(
+                Prober(vm_id=info.vm_id, failure_domain=info.failure_domain, reachable=reachable)
+            )
+        return probers
+
+    def _take_table(self, table: RoutingTable, source: str) -> bool:
+        taken = self.gateway.take_table(table)
+        if taken:
+            self.mesh.table = table
+            self.logger.info(
+                "Routing table {:08x} in force: {} routes, from {}.",
+                table.version,
+                len(table.routes),
+                source,
+            )
+        return taken
+
+    def _take_listings(self, listings: list[Listing], position: int, age_s: float) -> None:
+        if age_s > self._get_servers_age_s() or position < self.registry.position:
+            return
+        self.registry.note_read(age_s)
+        self.registry.take_all(listings, position)
+        self.gateway.refresh()
+        self.logger.info("Took {} servers from a peer, {:.2f} s old.", len(listings), age_s)
+
+    def _take_load(self, notice: LoadNotice) -> None:
+        now = time.monotonic()
+        for item in notice.reports:
+            found = self.gateway.find_load(item.server_id)
+            if found is None or item.age_ms > MAX_REPORT_AGE_S * 1000:
+                continue
+            dispatcher, load = found
+            report = ServerReport(
+                running=item.running,
+                waiting=item.waiting,
+                slots=item.slots,
+                slowness=item.slowness_pct / 100,
+            )
+            self.gateway.note_report(dispatcher, load, report, now - item.age_ms / 1000)
+        for server_id, count in notice.counts:
+            found = self.gateway.find_load(server_id)
+            if found is not None:
+                found[1].note_peer_count(notice.vm_id, count, now)
+        for dispatcher in self.gateway.dispatchers.values():
+            dispatcher.pump()
+
+    async def _spread_news(self) -> None:
+        while True:
+            await asyncio.sleep(NEWS_PERIOD_S)
+            notice = self.news.take(self.settings.vm.id, time.monotonic(), _make_item)
+            if notice is not None:
+                await self.mesh.notify_all(notice)
+
+    async def _keep_up(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_PERIOD_S)
+            self.gateway.nodes = self.mesh.count_known()
+            self.gateway.refresh()
+            addresses = {listing.server.address for listing in self.registry.list_all()}
+            self.gateway.connections.expire(addresses)
+            self.mesh.forget()
+
+    async def _listen(self) -> None:
+        listeners = self.settings.listeners
+        self._entry_runner = await self._serve(self.gateway.handle, listeners.entry)
+        await self._serve(self._answer_readiness, listeners.readiness)
+        await self._serve(self._answer_location, listeners.locator)
+        if self.options.metrics_port:
+            address = f"{self.settings.vm.address}:{self.options.metrics_port}"
+            await self._serve(self._answer_metrics, address)
+
+    async def _serve(self, handler: t.Callable, address: str) -> web.ServerRunner:
+        host, _, port = address.rpartition(":")
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_S,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+            access_log=None,
+            auto_decompress=False,
+        )
+        runner = web.ServerRunner(server, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
+        self._runners.append(runner)
+        return runner
+
+    async def _answer_readiness(self, request: web.BaseRequest) -> web.Response:
+        if request.path != self._interface.readiness_path:
+            return web.Response(status=404, text="not found\n")
+        if self.ready:
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text="not ready\n")
+
+    async def _answer_location(self, request: web.BaseRequest) -> web.Response:
+        if request.path != self._interface.locator_path:
+            return web.Response(status=404, text="not found\n")
+        domain = self._interface.get_caller_domain(request.query)
+        addresses = self._list_entries(domain)
+        if not addresses:
+            return web.Response(status=503, text="no entry is known yet\n")
+        self.answered_locations += 1
+        lifetime_s = min(self.options.lifetime_s, self.settings.longest_lifetime_s)
+        body = self._interface.encode_entries(addresses, lifetime_s)
+        return web.Response(body=body, content_type="application/json")
+
+    def _list_entries(self, domain: str) -> list[str]:
+        live = self.mesh.list_live()
+        near = [vm for vm in live if vm.failure_domain == domain]
+        addresses = [entry.http_address for vm in near or live for entry in vm.entries]
+        self._chooser.shuffle(addresses)
+        return addresses
+
+    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(body=render_metrics(), content_type="text/plain")
+
+    def _add_metrics(self) -> None:
+        def read_outcomes():
+            return [(count, {"outcome": name}) for name, count in self.gateway.outcomes.items()]
+
+        def read_probes():
+            return [
+                (self.prober.sent, {"result": "sent"}),
+                (self.prober.failed, {"result": "failed"}),
+            ]
+
+        def read_lines():
+            return [(self.journal.dropped_total + self._output.dropped, {})]
+
+        def read_in_flight():
+            return [(self.gateway.in_flight, {})]
+
+        def read_queued():
+            return [(self.gateway.count_queued(), {})]
+
+        def read_opened():
+            return [(self.gateway.connections.opened, {})]
+
+        def read_age():
+            return [(self.registry.get_age_s(), {})]
+
+        add_counter(self.metrics, "requests", "1", "Requests, by outcome.", read_outcomes)
+        add_counter(self.metrics, "probes", "1", "Probes of servers.", read_probes)
+        add_counter(self.metrics, "log.dropped", "1", "Log lines left out.", read_lines)
+        add_counter(self.metrics, "connections", "1", "Opened to servers.", read_opened)
+        add_gauge(self.metrics, "requests.in_flight", "1", "Requests held.", read_in_flight)
+        add_gauge(self.metrics, "requests.queued", "1", "Requests that wait.", read_queued)
+        add_gauge(self.metrics, "servers.age", "s", "Age of the list of servers.", read_age)
+
+
+def _make_item(server_id: str, report: ServerReport, age_s: float) -> LoadReportItem:
+    return LoadReportItem(
+        server_id,
+        report.running,
+        report.waiting,
+        report.slots,
+        round(report.slowness * 100),
+        max(0, round(age_s * 1000)),
+    )
--- a/src/jasmineseam/programs/operator.py
+++ b/src/jasmineseam/programs/operator.py
@@ -20,9 +20,9 @@
 from ..peers.messages import InForceRequest
 from ..peers.messages import SnapshotReply
 from ..peers.messages import SnapshotRequest
-from ..platform.log import CATALOGUE_STREAM
-from ..platform.log import LogClient
-from ..platform.vmlist import VmListClient
+from ..standalone.log import CATALOGUE_STREAM
+from ..standalone.log import LogClient
+from ..standalone.vmlist import VmListClient
 
 ASK_TIMEOUT_S = 1.0
 ANY_POSITION = -1
--- a/src/jasmineseam/programs/prober.py
+++ b/src/jasmineseam/programs/prober.py
@@ -23,8 +23,8 @@
 from ..measuring.seat import SeatClaim
 from ..membership.servers import Server
 from ..membership.servers import Servers
-from ..platform.log import SEATS_STREAM
-from ..platform.log import LogClient
+from ..standalone.log import SEATS_STREAM
+from ..standalone.log import LogClient
 
 SEAT_READ_S = 1.5
 PROBE_CHECK_S = 0.1
--- /dev/null
+++ b/src/jasmineseam/routing/dispatch.py
@@ -0,0 +1,224 @@
+"""Dispatch of requests to the servers of one service: place now, wait for a better slot, refuse.
+
+Load: bursts beyond what the servers can run at once, and hosts that are slow for a moment. A
+request that would miss its target at every server with a free slot waits here, where it can still
+go to whichever server becomes fast or free first, but only while it can meet the target. After
+that it takes the best slot there is, or is refused at once if none can answer in time. More urgent
+requests go first.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+import typing as t
+
+from ..exceptions import NotRunError
+from .load import ServerLoad
+from .placement import Estimate
+from .placement import SlownessAverage
+from .placement import choose
+
+RECHECK_S = 0.01
+# a waiting request leaves the queue early enough to run this many times the usual
+TARGET_RUN_FACTOR = 1.3
+# requests that may wait in a server's own queue, as a share of its slots
+SERVER_QUEUE_SHARE = 0.5
+MAX_QUEUED = 2000
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 1.0
+USUAL_GAIN = 0.05
+DEFAULT_USUAL_S = 0.1
+RATE_WINDOW_S = 1.0
+NO_SERVER_RETRY_AFTER_S = 0.3
+
+
+class Wanted(t.NamedTuple):
+    """What a request needs of a server.
+
+    :param priority: 0 is the most urgent.
+    :param target_at: when its answer should be there, on the clock.
+    :param deadline_at: when its answer is worth nothing any more, on the clock.
+    :param excluded: ids of servers that it has been at.
+    """
+
+    priority: int
+    target_at: float
+    deadline_at: float
+    excluded: set[str]
+
+
+class _Waiter:
+    __slots__ = ("arrived_at", "placed", "wanted")
+
+    def __init__(self, wanted: Wanted, arrived_at: float, placed: asyncio.Future) -> None:
+        self.wanted = wanted
+        self.arrived_at = arrived_at
+        self.placed = placed
+
+
+class Dispatcher:
+    """Chooses the server of each request to one service, in one node.
+
+    :param service: the service's name.
+    :param failure_domain: the node's own.
+    :param clock: returns seconds, monotonic.
+    :param chooser: breaks ties.
+    """
+
+    def __init__(
+        self, *, service: str, failure_domain: str, clock, chooser: random.Random
+    ) -> None:
+        self.service = service
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._chooser = chooser
+        self.loads: dict[str, ServerLoad] = {}
+        self.slowness = SlownessAverage()
+        self.usual_s = DEFAULT_USUAL_S
+        self._waiters: list[_Waiter] = []
+        self._timer: asyncio.TimerHandle | None = None
+        self._finished: collections.deque[float] = collections.deque()
+        self.requested_at = float("-inf")
+
+    def count_queued(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiters)
+
+    async def place(self, wanted: Wanted) -> ServerLoad:
+        """Return the server that a request should be sent to now.
+
+        :raises NotRunError: if no server can answer it in time.
+        """
+        now = self._clock()
+        self.requested_at = now
+        if not any(w.wanted.priority <= wanted.priority for w in self._waiters):
+            load = self._try_place(wanted, now)
+            if load is not None:
+                return load
+        self._check_room(wanted, now)
+        waiter = _Waiter(wanted, now, asyncio.get_running_loop().create_future())
+        self._waiters.append(waiter)
+        self._waiters.sort(key=lambda one: (one.wanted.priority, one.wanted.target_at))
+        self._start_timer()
+        try:
+            return await waiter.placed
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def pick_hedge(self, excluded: set[str], within_s: float) -> ServerLoad | None:
+        """Return a server that would answer within a time, ``None`` if none is expected to."""
+        now = self._clock()
+        best, _ = self._choose(excluded, now)
+        if best is None or best.factor * self.usual_s > within_s:
+            return None
+        return best.load
+
+    def note_latency(self, latency_s: float, slowness: float) -> None:
+        """Learn from a whole answer how long work takes on a host of usual speed."""
+        usual_s = latency_s / max(1.0, slowness)
+        self.usual_s += USUAL_GAIN * (min(usual_s, 4 * self.usual_s) - self.usual_s)
+
+    def note_finished(self) -> None:
+        """Note that a request has ended, whichever way, so that a slot may be free."""
+        self._finished.append(self._clock())
+        self.pump()
+
+    def pump(self) -> None:
+        """Place the waiting requests that can be placed now."""
+        if not self._waiters:
+            return
+        now = self._clock()
+        # one choice serves all that wait, until a request is placed
+        choice = None
+        for waiter in list(self._waiters):
+            if waiter.placed.done():
+                continue
+            wanted = waiter.wanted
+            if wanted.excluded or choice is None:
+                chosen = self._choose(wanted.excluded, now)
+                choice = choice if wanted.excluded else chosen
+            else:
+                chosen = choice
+            try:
+                load = self._judge(wanted, now, *chosen)
+            except NotRunError as error:
+                waiter.placed.set_exception(error)
+                self._waiters.remove(waiter)
+                continue
+            if load is None:
+                continue
+            choice = None
+            self._waiters.remove(waiter)
+            waiter.placed.set_result(load)
+            # counts until the request's own task, which runs first, has taken over
+            asyncio.get_running_loop().call_soon(load.end, load.begin(now))
+
+    def estimate_wait_s(self) -> float:
+        """Return how long the requests that wait now will take to be placed, in seconds."""
+        now = self._clock()
+        while self._finished and self._finished[0] < now - RATE_WINDOW_S:
+            self._finished.popleft()
+        rate_per_s = max(1.0, len(self._finished) / RATE_WINDOW_S)
+        return len(self._waiters) / rate_per_s
+
+    def _choose(self, excluded: set[str], now: float) -> tuple[Estimate | None, Estimate | None]:
+        loads = self.loads.values()
+        if excluded:
+            loads = [load for load in loads if load.server_id not in excluded]
+        return choose(
+            loads,
+            now=now,
+            average=self.slowness.value,
+            usual_s=self.usual_s,
+            failure_domain=self._failure_domain,
+            chooser=self._chooser,
+        )
+
+    def _try_place(self, wanted: Wanted, now: float) -> ServerLoad | None:
+        return self._judge(wanted, now, *self._choose(wanted.excluded, now))
+
+    def _judge(
+        self, wanted: Wanted, now: float, best_free: Estimate | None, best: Estimate | None
+    ) -> ServerLoad | None:
+        """Return where to go now, ``None`` to wait."""
+        if best is None:
+            raise NotRunError("no-server", 503, NO_SERVER_RETRY_AFTER_S)
+        usual_s = self.usual_s
+        if best_free is not None and now + best_free.factor * usual_s <= wanted.target_at:
+            return best_free.load
+        if now + TARGET_RUN_FACTOR * usual_s < wanted.target_at:
+            return None
+        if now >= wanted.deadline_at:
+            raise NotRunError("deadline", 503, MIN_RETRY_AFTER_S)
+        if best_free is not None:
+            return best_free.load
+        count = best.load.count_in_flight(now)
+        has_room = count < best.load.slots * (1.0 + SERVER_QUEUE_SHARE)
+        if has_room and now + best.factor * usual_s < wanted.deadline_at:
+            return best.load
+        raise NotRunError("overloaded", 503, self._compute_retry_after_s())
+
+    def _check_room(self, wanted: Wanted, now: float) -> None:
+        if len(self._waiters) >= MAX_QUEUED:
+            raise NotRunError("queue-full", 503, self._compute_retry_after_s())
+        wait_s = self.estimate_wait_s()
+        if now + wait_s + self.usual_s > wanted.deadline_at:
+            raise NotRunError("queue-too-long", 503, self._compute_retry_after_s())
+
+    def _compute_retry_after_s(self) -> float:
+        wait_s = self.estimate_wait_s()
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+    def _start_timer(self) -> None:
+        if self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(RECHECK_S, self._recheck)
+
+    def _recheck(self) -> None:
+        self._timer = None
+        self.pump()
+        if self._waiters:
+            self._start_timer()
--- /dev/null
+++ b/src/jasmineseam/routing/load.py
@@ -0,0 +1,113 @@
+"""What one node knows of the load of one backend server, and how old that is."""
+
+from __future__ import annotations
+
+from ..measuring.reports import ServerReport
+
+PEER_COUNT_EXPIRY_S = 1.0
+FAILURE_GAIN = 0.25
+# a server's failures weigh half as much after this time, in seconds
+FAILURE_HALF_LIFE_S = 4.0
+
+
+class ServerLoad:
+    """Load of one server.
+
+    :param server_id: the server's id.
+    :param address: ``ip:port``.
+    :param failure_domain: where it is.
+    :param slots: requests that it runs at once.
+    :param now: monotonic, in seconds.
+    """
+
+    __slots__ = (
+        "_failure_rate",
+        "_failure_rate_at",
+        "_others",
+        "_token",
+        "address",
+        "ejected_until",
+        "ejections",
+        "failure_domain",
+        "known_at",
+        "probed_at",
+        "report",
+        "reported_at",
+        "running",
+        "server_id",
+        "slots",
+        "started_ms",
+        "warm_at",
+    )
+
+    def __init__(
+        self, *, server_id: str, address: str, failure_domain: str, slots: int, now: float
+    ) -> None:
+        self.server_id = server_id
+        self.address = address
+        self.failure_domain = failure_domain
+        self.slots = slots
+        self.known_at = now
+        self.started_ms = 0
+        self.warm_at = now
+        # start times of this node's own requests, oldest first
+        self.running: dict[int, float] = {}
+        self._token = 0
+        self._others: dict[str, tuple[int, float]] = {}
+        self.report: ServerReport | None = None
+        self.reported_at = float("-inf")
+        self.probed_at = float("-inf")
+        self._failure_rate = 0.0
+        self._failure_rate_at = now
+        self.ejected_until = 0.0
+        self.ejections = 0
+
+    def begin(self, now: float) -> int:
+        """Note a request sent; returns the token to end it with."""
+        self._token += 1
+        self.running[self._token] = now
+        return self._token
+
+    def end(self, token: int) -> None:
+        """Note that a request has ended."""
+        del self.running[token]
+
+    def note_report(self, report: ServerReport, observed_at: float) -> bool:
+        """Take a report unless a newer one is known; returns whether it was taken."""
+        if observed_at <= self.reported_at:
+            return False
+        self.report = report
+        self.reported_at = observed_at
+        if report.slots:
+            self.slots = report.slots
+        return True
+
+    def note_peer_count(self, peer: str, count: int, at: float) -> None:
+        """Take a peer's word on how many requests it has at the server."""
+        if count:
+            self._others[peer] = (count, at)
+        else:
+            self._others.pop(peer, None)
+
+    def count_in_flight(self, now: float) -> int:
+        """Return the requests that all nodes have at the server, as far as known."""
+        count = len(self.running)
+        for peer, (others, at) in list(self._others.items()):
+            if now - at > PEER_COUNT_EXPIRY_S:
+                del self._others[peer]
+                continue
+            count += others
+        return count
+
+    def note_outcome(self, failed: bool, now: float) -> None:
+        """Learn from one finished attempt."""
+        rate = self.get_failure_rate(now)
+        self._failure_rate = rate + FAILURE_GAIN * (float(failed) - rate)
+        self._failure_rate_at = now
+
+    def get_failure_rate(self, now: float) -> float:
+        """Return the share of recent attempts that failed; it fades with time."""
+        if self._failure_rate < 0.01:
+            return 0.0
+        age_s = now - self._failure_rate_at
+        return self._failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
--- /dev/null
+++ b/src/jasmineseam/routing/placement.py
@@ -0,0 +1,134 @@
+"""Placement: how long a request would take at each server, and which one it should go to.
+
+Load: many short requests on few servers whose hosts turn several times slower for about a tenth
+of a second at a time. What counts is to be at a server whose host is fast now and that has a free
+slot, so the estimate starts from the newest report of each server and falls back on the service's
+average as the report grows older.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import typing as t
+
+from .load import ServerLoad
+
+# time in which a host's slowness is expected to change, in seconds
+SLOWNESS_MEMORY_S = 0.15
+REPORT_TRUSTED_S = 0.1
+COLD_FACTOR = 2.0
+FAILURE_FACTOR = 8.0
+OTHER_DOMAIN_FACTOR = 1.02
+SHARED_SLOT_FACTOR = 0.15
+# share of the slots from which servers are expected to slow down, and by how much
+CROWDED_SHARE = 0.8
+CROWDED_FACTOR = 1.3
+# a request that runs this many times longer than usual marks its server as stuck
+OVERDUE_FACTOR = 6.0
+STUCK_FACTOR = 3.0
+TIE_BREAK = 0.03
+
+
+class Estimate(t.NamedTuple):
+    """A server and what a request is expected to meet there.
+
+    :param factor: expected time as a multiple of the usual.
+    :param free: whether a slot is free, as far as known.
+    """
+
+    load: ServerLoad
+    factor: float
+    free: bool
+
+
+class SlownessAverage:
+    """The average slowness of a service's hosts.
+
+    >>> average = SlownessAverage()
+    >>> average.note(3.0)
+    >>> 1.0 < average.value < 3.0
+    True
+    """
+
+    __slots__ = ("value",)
+
+    GAIN = 0.01
+
+    def __init__(self) -> None:
+        self.value = 1.5
+
+    def note(self, slowness: float) -> None:
+        """Learn from one report."""
+        self.value += self.GAIN * (min(slowness, 20.0) - self.value)
+
+
+def estimate_slowness(load: ServerLoad, now: float, average: float) -> float:
+    """Return the slowness to expect of a server's host from its last report's age."""
+    report = load.report
+    if report is None:
+        return average
+    age_s = max(0.0, now - load.reported_at)
+    trust = math.exp(-age_s / SLOWNESS_MEMORY_S)
+    return average + (report.slowness - average) * trust
+
+
+def estimate(
+    load: ServerLoad, now: float, average: float, usual_s: float, failure_domain: str
+) -> Estimate:
+    """Return what a request sent now is expected to meet at a server.
+
+    :param average: slowness of the service's hosts.
+    :param usual_s: time that a request takes on a host of usual speed, in seconds.
+    :param failure_domain: the node's own.
+    """
+    factor = estimate_slowness(load, now, average)
+    count = load.count_in_flight(now)
+    report = load.report
+    if report is not None and now - load.reported_at < REPORT_TRUSTED_S:
+        # what the server still works on for callers that have left
+        count = max(count, report.running + report.waiting)
+    slots = load.slots
+    excess = count + 1 - slots
+    if excess > 0:
+        factor *= 1.0 + excess / slots
+    if count + 1 > CROWDED_SHARE * slots:
+        factor *= CROWDED_FACTOR
+    if now < load.warm_at:
+        factor *= COLD_FACTOR
+    if load.running:
+        oldest_s = now - next(iter(load.running.values()))
+        if oldest_s > OVERDUE_FACTOR * usual_s > 0:
+            factor *= STUCK_FACTOR
+    factor *= 1.0 + FAILURE_FACTOR * load.get_failure_rate(now)
+    factor *= 1.0 + SHARED_SLOT_FACTOR * count / slots
+    if load.failure_domain != failure_domain:
+        factor *= OTHER_DOMAIN_FACTOR
+    return Estimate(load, factor, excess <= 0)
+
+
+def choose(
+    loads: t.Iterable[ServerLoad],
+    *,
+    now: float,
+    average: float,
+    usual_s: float,
+    failure_domain: str,
+    chooser: random.Random,
+) -> tuple[Estimate | None, Estimate | None]:
+    """Return the best server with a free slot and the best of all, ``None`` if there is none.
+
+    :param chooser: breaks ties, so that nodes with the same view spread.
+    """
+    best_free = best = None
+    for load in loads:
+        if now < load.ejected_until:
+            continue
+        one = estimate(load, now, average, usual_s, failure_domain)
+        factor = one.factor * (1.0 + TIE_BREAK * chooser.random())
+        one = Estimate(load, factor, one.free)
+        if best is None or factor < best.factor:
+            best = one
+        if one.free and (best_free is None or factor < best_free.factor):
+            best_free = one
+    return best_free, best
--- /dev/null
+++ b/src/jasmineseam/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP connections to backend servers."""
--- /dev/null
+++ b/src/jasmineseam/transport/connection.py
@@ -0,0 +1,189 @@
+"""One HTTP/1.1 connection to a backend server, one request at a time, on aiohttp's parser.
+
+aiohttp's own client is not used here: it repeats requests by itself on a stale connection, can't
+pass over a response that belongs to another request, and does not tell whether a request was sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import socket
+import typing as t
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.http import StreamWriter
+from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.streams import StreamReader
+from multidict import CIMultiDict
+
+from ..exceptions import AttemptLostError
+from ..exceptions import AttemptNotRunError
+
+# aiohttp's parser is given the largest head that servers are expected to send
+MAX_HEAD_BYTES = 65_536
+READ_BUFFER_BYTES = 262_144
+# without an acknowledgement for so long the connection counts as broken
+ACKNOWLEDGEMENT_TIMEOUT_MS = 2000
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+DEFAULT_IDLE_S = 8.0
+IDLE_SHARE = 0.8
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d{1,6})", re.IGNORECASE)
+_TRANSPORT_ERRORS = (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError, EOFError)
+
+
+class _Handler(ResponseHandler):
+    """aiohttp's protocol, but a reset never completes a body that ends with its connection."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError("connection reset"), exc)
+        super().connection_lost(exc)
+
+
+class Exchange(t.NamedTuple):
+    """A response whose head has arrived.
+
+    :param body: the rest of it.
+    """
+
+    status: int
+    reason: str
+    headers: t.Any
+    body: StreamReader
+
+
+class Connection:
+    """An open connection.
+
+    :param protocol: connected.
+    :param now: monotonic, in seconds.
+    """
+
+    __slots__ = ("_protocol", "idle_limit_s", "last_used_at", "requests")
+
+    def __init__(self, *, protocol: _Handler, now: float) -> None:
+        self._protocol = protocol
+        self.idle_limit_s = DEFAULT_IDLE_S
+        self.last_used_at = now
+        self.requests = 0
+
+    @property
+    def reusable(self) -> bool:
+        """Whether it is open, and no byte on it is left over."""
+        return self._protocol.is_connected() and not self._protocol.should_close
+
+    async def send(self, method: str, path: str, headers: CIMultiDict[str], body: bytes) -> None:
+        """Write one request; when this begins, the server may run it.
+
+        :raises AttemptLostError: if the connection breaks.
+        """
+        self.requests += 1
+        if not self._protocol.is_connected():
+            raise AttemptNotRunError("closed-before-sending")
+        writer = StreamWriter(self._protocol, asyncio.get_running_loop())
+        try:
+            await writer.write_headers(f"{method} {path} HTTP/1.1", headers)
+            await writer.write_eof(body)
+        except _TRANSPORT_ERRORS as error:
+            raise AttemptLostError("connection-broke") from error
+
+    async def receive(self, is_expected: t.Callable[[t.Any], bool]) -> Exchange:
+        """Read the head of the response that is expected, passing over others.
+
+        :param is_expected: tells by its headers whether a response is the one wanted.
+        :raises AttemptLostError: if the connection breaks first, or brings something else.
+        """
+        while True:
+            try:
+                message, payload = await self._protocol.read()
+            except _TRANSPORT_ERRORS as error:
+                raise AttemptLostError("no-response") from error
+            if 100 <= message.code < 200:
+                continue
+            if is_expected(message.headers):
+                self._note_head(message)
+                return Exchange(message.code, message.reason, message.headers, payload)
+            await self._skip(payload)
+
+    async def read_body(self, exchange: Exchange, limit: int) -> tuple[bytes, bool]:
+        """Read a response's body, or so much of it as exceeds a limit.
+
+        :returns: what was read, and whether it is the whole body.
+        :raises AttemptLostError: if it breaks off.
+        """
+        if exchange.body is EMPTY_PAYLOAD:
+            return b"", True
+        chunks = []
+        size = 0
+        try:
+            while chunk := await exchange.body.readany():
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > limit:
+                    return b"".join(chunks), False
+        except _TRANSPORT_ERRORS as error:
+            raise AttemptLostError("response-cut") from error
+        return b"".join(chunks), True
+
+    def close(self) -> None:
+        """Drop the connection at once, so that the server stops the work of its request."""
+        self._protocol.abort()
+
+    def is_drained(self) -> bool:
+        """Tell whether all that was written has left this process."""
+        transport = self._protocol.transport
+        return transport is not None and transport.get_write_buffer_size() == 0
+
+    async def _skip(self, payload: StreamReader) -> None:
+        if payload is EMPTY_PAYLOAD:
+            return
+        try:
+            while await payload.readany():
+                continue
+        except _TRANSPORT_ERRORS as error:
+            raise AttemptLostError("response-cut") from error
+
+    def _note_head(self, message: RawResponseMessage) -> None:
+        match = _KEEP_ALIVE_TIMEOUT.search(message.headers.get("Keep-Alive", ""))
+        if match is not None:
+            self.idle_limit_s = int(match[1]) * IDLE_SHARE
+
+
+async def open_connection(address: str, timeout_s: float) -> Connection:
+    """Connect to a server.
+
+    :param address: ``ip:port``.
+    :raises AttemptNotRunError: if there is no connection within the time.
+    """
+    loop = asyncio.get_running_loop()
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, protocol = await loop.create_connection(lambda: _Handler(loop), host, int(port))
+    except (OSError, TimeoutError) as error:
+        raise AttemptNotRunError("connect") from error
+    _set_options(protocol)
+    protocol.set_response_params(
+        read_until_eof=True,
+        auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
+        max_line_size=MAX_HEAD_BYTES,
+        max_field_size=MAX_HEAD_BYTES,
+    )
+    return Connection(protocol=protocol, now=loop.time())
+
+
+def _set_options(protocol: _Handler) -> None:
+    opened = protocol.transport.get_extra_info("socket")
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACKNOWLEDGEMENT_TIMEOUT_MS)
--- /dev/null
+++ b/src/jasmineseam/transport/connections.py
@@ -0,0 +1,83 @@
+"""Kept connections to backend servers, the most recently used one first."""
+
+from __future__ import annotations
+
+import time
+
+from .connection import Connection
+from .connection import open_connection
+
+CONNECT_TIMEOUT_S = 0.3
+MAX_IDLE_PER_SERVER = 16
+
+
+class ServerConnections:
+    """The kept connections of one process, by the server's address.
+
+    :param connect_timeout_s: the longest that a connection may take to open.
+    """
+
+    def __init__(self, *, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._idle: dict[str, list[Connection]] = {}
+        self.opened = 0
+
+    async def acquire(self, address: str, idle_limit_s: float = float("inf")) -> Connection:
+        """Return a kept connection, or open one.
+
+        :param idle_limit_s: the longest that a kept one may have been idle, in seconds.
+        :raises AttemptNotRunError: if none could be opened.
+        """
+        idle = self._idle.get(address)
+        now = time.monotonic()
+        while idle:
+            connection = idle[-1]
+            idle_s = now - connection.last_used_at
+            usable = connection.reusable and idle_s < connection.idle_limit_s
+            if usable and idle_s >= idle_limit_s:
+                break
+            idle.pop()
+            if usable:
+                return connection
+            connection.close()
+        connection = await open_connection(address, self._connect_timeout_s)
+        self.opened += 1
+        return connection
+
+    def release(self, address: str, connection: Connection) -> None:
+        """Keep a connection whose response was read to its end; any other one is closed."""
+        idle = self._idle.setdefault(address, [])
+        full = len(idle) >= MAX_IDLE_PER_SERVER
+        if full or not connection.reusable or not connection.is_drained():
+            connection.close()
+            return
+        connection.last_used_at = time.monotonic()
+        idle.append(connection)
+
+    def expire(self, addresses: set[str]) -> None:
+        """Close connections that were idle for too long, or lead to none of the addresses."""
+        now = time.monotonic()
+        for address, idle in list(self._idle.items()):
+            kept = []
+            for connection in idle:
+                idle_s = now - connection.last_used_at
+                known = address in addresses and connection.reusable
+                if known and idle_s < connection.idle_limit_s:
+                    kept.append(connection)
+                    continue
+                connection.close()
+            if kept:
+                self._idle[address] = kept
+                continue
+            del self._idle[address]
+
+    def count_idle(self) -> int:
+        """Return how many connections are kept."""
+        return sum(len(idle) for idle in self._idle.values())
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.close()
+        self._idle.clear()
--- a/tests/test_catalogue_reader.py
+++ b/tests/test_catalogue_reader.py
@@ -7,8 +7,8 @@
 from jasmineseam.catalogue.fold import Catalogue
 from jasmineseam.exceptions import LogUnavailableError
 from jasmineseam.exceptions import RecordsTrimmedError
-from jasmineseam.platform.log import LogPage
 from jasmineseam.programs.catalogue_reader import CatalogueReader
+from jasmineseam.standalone.log import LogPage
 from tests.test_catalogue import fold
 from tests.test_catalogue import make_change
 
