Send notices between nodes without a future for each message

Cause: under the profiler, half of a node's own time went into pyzmq's futures for some 660 notices a second. A PUSH and a PULL socket on the loop's readiness events need none. Ruled out: the handlers themselves, which take under a tenth. Conclusion: kept; most of the rest is start-up and the event loop.

--- a/src/jasmineseam/membership/vms.py
+++ b/src/jasmineseam/membership/vms.py
@@ -32,6 +32,7 @@
 
     :param incarnation: random for each start of the agent.
     :param seat: which share of the measuring budget the VM has.
+    :param notice_address: where it takes one-way messages, empty if it takes none.
     :param ready: whether its entries may be named to callers.
     """
 
@@ -43,6 +44,7 @@
     ready: bool = False
     leaving: bool = False
     entries: list[EntryProcess] = []
+    notice_address: str = ""
 
 
 class Successor(msgspec.Struct, kw_only=True, frozen=True):
--- a/src/jasmineseam/operations/daemon.py
+++ b/src/jasmineseam/operations/daemon.py
@@ -67,14 +67,14 @@
         self.logger = logbook.Logger(role)
         self.metrics = set_up_metrics(metric_settings)
         self._control_port = control_port
-        self._context = zmq.asyncio.Context()
-        self.links = PeerLinks(context=self._context)
+        self.context = zmq.asyncio.Context()
+        self.links = PeerLinks(context=self.context)
         self.peer_server: PeerServer | None = None
 
     async def on_start(self) -> None:
         """Bind the control address and serve it."""
         self.peer_server = PeerServer(
-            context=self._context,
+            context=self.context,
             host=self._address,
             port=self._control_port,
             handler=self._handle_message,
--- a/src/jasmineseam/operations/node_settings.py
+++ b/src/jasmineseam/operations/node_settings.py
@@ -42,13 +42,15 @@
     :param entry: for requests to services.
     :param readiness: for readiness checks.
     :param locator: for callers that ask which entry to use.
-    :param peers: for the other nodes.
+    :param peers: for the other nodes' requests.
+    :param notices: for the other nodes' one-way messages.
     """
 
     entry: str
     readiness: str
     locator: str
     peers: str
+    notices: str
 
 
 class RetryLimits(msgspec.Struct, kw_only=True, frozen=True):
--- a/src/jasmineseam/peers/links.py
+++ b/src/jasmineseam/peers/links.py
@@ -30,10 +30,9 @@
 MAX_CONCURRENT_HANDLERS = 2000
 SEND_TIMEOUT_S = 0.5
 _NUMBER = struct.Struct("!Q")
-_NO_REPLY_FRAME = _NUMBER.pack(0)
 _logger = logbook.Logger("peers")
 
-Handler = t.Callable[[Message], t.Awaitable[Message | None]]
+Handler = t.Callable[[Message], t.Awaitable[Message]]
 
 
 class PeerServer:
@@ -87,8 +86,6 @@
             self.dropped["failed"] += 1
             _logger.exception("Message of type {} failed.", type(message).__name__)
             reply = Refused(reason="internal-error")
-        if reply is None or number == _NO_REPLY_FRAME:
-            return
         with contextlib.suppress(zmq.ZMQError):
             await self._socket.send_multipart([identity, number, encode_message(reply)])
 
@@ -148,18 +145,6 @@
                 # it may have broken while the message was still being sent
                 reply.exception()
 
-    async def notify(self, message: Message) -> bool:
-        """Send a message that gets no reply; returns whether it was taken.
-
-        A link that is not connected, or is full, drops the message.
-        """
-        try:
-            frames = [_NO_REPLY_FRAME, encode_message(message)]
-            await self._socket.send_multipart(frames, flags=zmq.NOBLOCK)
-        except zmq.ZMQError:
-            return False
-        return True
-
     async def _send(self, frames: list[bytes], timeout_s: float) -> None:
         try:
             async with asyncio.timeout(timeout_s):
--- a/src/jasmineseam/platform/settings.py
+++ b/src/jasmineseam/platform/settings.py
@@ -37,8 +37,10 @@
     directory: str
 
 
-class _Network(msgspec.Struct):
+class _Network(msgspec.Struct, rename={"own_ports": "internal-ports"}):
     listen: _Listen
+    # first and last port that are free for traffic between nodes
+    own_ports: tuple[int, int]
     seeds: list[str] = []
 
 
@@ -131,6 +133,7 @@
             readiness=listen.ready,
             locator=listen.directory,
             peers=listen.control,
+            notices=f"{file.own.ip}:{file.network.own_ports[0]}",
         ),
         store_address=file.platform.platform.address,
         seed_peers=file.network.seeds,
--- a/src/jasmineseam/programs/mesh.py
+++ b/src/jasmineseam/programs/mesh.py
@@ -16,6 +16,7 @@
 from ..peers.messages import LoadNotice
 from ..peers.messages import Message
 from ..peers.messages import NodeGossip
+from ..peers.notices import NoticeSender
 from ..routing.routes import RoutingTable
 
 GOSSIP_PERIOD_S = 0.5
@@ -31,6 +32,7 @@
     """The node's links to all other nodes.
 
     :param links: the process's links.
+    :param notices: sends one-way messages.
     :param own_address: where the other nodes reach this one.
     :param describe: returns what the node says of itself.
     :param on_table: called with a newer routing table.
@@ -41,12 +43,14 @@
         self,
         *,
         links: PeerLinks,
+        notices: NoticeSender,
         own_address: str,
         describe: t.Callable[[], VmInfo],
         on_table: t.Callable[[RoutingTable, str], None],
         on_listings: t.Callable[[list[Listing], int, float], None],
     ) -> None:
         self._links = links
+        self._notices = notices
         self._own_address = own_address
         self._describe = describe
         self._on_table = on_table
@@ -80,12 +84,10 @@
         tells = [self._tell(address) for address in list(self._tasks)]
         await asyncio.gather(*tells, return_exceptions=True)
 
-    async def notify_all(self, message: Message) -> None:
-        """Send a message without reply to every live peer."""
-        for vm in self.vms.list_live():
-            if vm.agent_address == self._own_address:
-                continue
-            await self._links.get(vm.agent_address).notify(message)
+    def notify_all(self, message: Message) -> None:
+        """Send a one-way message to every peer that is heard."""
+        addresses = [vm.notice_address for vm in self.vms.list_known() if self._is_heard(vm)]
+        self._notices.send(addresses, message)
 
     def list_peer_addresses(self) -> list[str]:
         """Return the addresses of the peers that are heard."""
@@ -127,6 +129,7 @@
             del self._wanted[address]
             del self._met_at[address]
         self._links.keep(set(self._tasks))
+        self._notices.keep({vm.notice_address for vm in self.vms.list_known()})
 
     def close(self) -> None:
         """Stop all talk."""
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -31,6 +31,8 @@
 from ..peers.messages import Refused
 from ..peers.messages import ServersNotice
 from ..peers.messages import TableNotice
+from ..peers.notices import NoticeReceiver
+from ..peers.notices import NoticeSender
 from ..routing.routes import RoutingTable
 from .gateway import Gateway
 from .gateway import Protocol
@@ -122,8 +124,11 @@
             news=self.news,
             journal=self.journal,
         )
+        self._notice_sender = NoticeSender(context=self.context)
+        self._notice_receiver: NoticeReceiver | None = None
         self.mesh = Mesh(
             links=self.links,
+            notices=self._notice_sender,
             own_address=settings.listeners.peers,
             describe=self._describe_self,
             on_table=self._take_table,
@@ -140,6 +145,11 @@
     async def on_start(self) -> None:
         """Listen, and follow the store, the peers and the servers' load."""
         await super().on_start()
+        self._notice_receiver = NoticeReceiver(
+            context=self.context,
+            address=self.settings.listeners.notices,
+            handler=self._take_notice,
+        )
         store, self._close_store = self._make_store()
         self.follower = StoreFollower(
             store=store,
@@ -173,24 +183,24 @@
             self._output.flush_forever(),
         ):
             self.add_future(task)
+        self._notice_receiver.start()
         await self._listen()
         self._add_metrics()
 
-    async def handle(self, message: Message) -> Message | None:
+    async def handle(self, message: Message) -> Message:
         """Answer the other nodes."""
+        if isinstance(message, NodeGossip):
+            return self.mesh.take_gossip(message)
+        return Refused(reason=f"node takes no {type(message).__name__}")
+
+    def _take_notice(self, message: Message) -> None:
         if isinstance(message, LoadNotice):
             self._take_load(message)
-            return None
-        if isinstance(message, ServersNotice):
+        elif isinstance(message, ServersNotice):
             self.follower.take_notice(message)
             self.gateway.refresh()
-            return None
-        if isinstance(message, TableNotice):
+        elif isinstance(message, TableNotice):
             self._take_table(message.table, "peer")
-            return None
-        if isinstance(message, NodeGossip):
-            return self.mesh.take_gossip(message)
-        return Refused(reason=f"node takes no {type(message).__name__}")
 
     async def stop_gracefully(self) -> None:
         """Stop being named, finish what runs, refuse new connections, leave."""
@@ -217,6 +227,8 @@
     async def on_stop(self) -> None:
         """Close all listeners and connections."""
         self.mesh.close()
+        self._notice_receiver.close()
+        self._notice_sender.close()
         for runner in self._runners:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(0.1):
@@ -275,6 +287,7 @@
             ready=self.ready,
             leaving=self._leaving,
             entries=[entry],
+            notice_address=self.settings.listeners.notices,
         )
 
     def _get_rank(self) -> int:
@@ -343,7 +356,7 @@
             await asyncio.sleep(NEWS_PERIOD_S)
             notice = self.news.take(self.settings.vm.id, time.monotonic(), _make_item)
             if notice is not None:
-                await self.mesh.notify_all(notice)
+                self.mesh.notify_all(notice)
 
     async def _keep_up(self) -> None:
         while True:
--- a/src/jasmineseam/programs/store_follower.py
+++ b/src/jasmineseam/programs/store_follower.py
@@ -20,6 +20,7 @@
 from ..membership.registry import Listing
 from ..membership.registry import Registry
 from ..membership.registry import ServerChange
+from ..peers.messages import Message
 from ..peers.messages import ServersNotice
 from ..peers.messages import TableNotice
 from ..routing.routes import RoutingTable
@@ -124,7 +125,7 @@
         store: Store,
         registry: Registry,
         on_table: t.Callable[[RoutingTable, str], bool],
-        notify: t.Callable[[t.Any], t.Awaitable[None]],
+        notify: t.Callable[[Message], None],
         get_rank: t.Callable[[], int],
         meet: t.Callable[[str], None],
         record: NodeRecord,
@@ -163,7 +164,7 @@
             self._note_success("routing table", backoff)
             position = read.position
             if read.table is not None and self._on_table(read.table, "store"):
-                await self._notify(TableNotice(table=read.table))
+                self._notify(TableNotice(table=read.table))
             if read.table is None and position == 0:
                 # nothing was ever written, and a wait at the beginning may be refused
                 await asyncio.sleep(FIRST_BACKOFF_S)
@@ -219,7 +220,7 @@
         self._registry.note_read(age_s)
         self._registry.take_changes(changes, end)
         notice = ServersNotice(begin=begin, end=end, age_s=age_s, changes=changes)
-        await self._notify(notice)
+        self._notify(notice)
 
     def take_notice(self, notice: ServersNotice) -> None:
         """Take the changes that a peer has read, unless some before them are missing."""
