Take changes of the server list at once; accept rejections without an id

Cause, found by the new tests on the stand-ins: the dispatchers took a changed list only every half second, so a draining or misdirected server still got requests; and a rejection that does not echo the request's id (421, or 503 before the id is read) was passed over as another request's answer until the route's timeout.

Ruled out: reading the list more often, which only shortens the wait.

--- a/src/jasmineseam/membership/registry.py
+++ b/src/jasmineseam/membership/registry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing as t
+
 import msgspec
 
 from .servers import Server
@@ -64,6 +66,7 @@
     heartbeats, so its server is kept until it has had time to return.
 
     :param clock: returns seconds, monotonic.
+    :param on_change: called when other servers may get new work than before.
     """
 
     __slots__ = (
@@ -71,15 +74,16 @@
         "_clock",
         "_dead",
         "_listed",
+        "_on_change",
         "_read_at",
         "_returned_at",
         "loaded",
         "position",
-        "version",
     )
 
-    def __init__(self, *, clock) -> None:
+    def __init__(self, *, clock, on_change: t.Callable[[], None] = lambda: None) -> None:
         self._clock = clock
+        self._on_change = on_change
         self._listed: dict[str, ListedServer] = {}
         self._by_service: dict[str, list[ListedServer]] = {}
         # servers found to be gone, with the entry that is no longer believed
@@ -88,7 +92,6 @@
         self._returned_at = float("-inf")
         self.loaded = False
         self.position = -1
-        self.version = 0
 
     def get_age_s(self) -> float:
         """Return the time since the list was last confirmed, in seconds."""
@@ -214,4 +217,4 @@
                 del self._dead[server_id]
             by_service.setdefault(listed.server.service, []).append(listed)
         self._by_service = by_service
-        self.version += 1
+        self._on_change()
--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -155,7 +155,6 @@
         self._splits = SplitCounter()
         self._chooser = random.Random()
         self._budgets: dict[str, WindowBudget] = {}
-        self._registry_version = -1
         self.connections = ServerConnections()
         self.dispatchers: dict[str, Dispatcher] = {}
         self.nodes = 1
@@ -174,14 +173,11 @@
             return False
         self._index = RouteIndex(table=table)
         self._splits = SplitCounter()
-        self.refresh(force=True)
+        self.refresh()
         return True
 
-    def refresh(self, *, force: bool = False) -> None:
+    def refresh(self) -> None:
         """Take what has changed in the list of servers."""
-        if self._registry.version == self._registry_version and not force:
-            return
-        self._registry_version = self._registry.version
         if self._index is None:
             return
         for service in self._index.services:
@@ -417,9 +413,12 @@
         ours.sent = True
         await connection.send(ours.method, ours.path, headers, ours.body)
 
-        def is_expected(received: t.Any) -> bool:
-            echoed = self._protocol.decode_response(200, received).request_id
-            return not request_id or echoed == request_id
+        def is_expected(status: int, received: t.Any) -> bool:
+            head = self._protocol.decode_response(status, received)
+            if head.not_run and not head.request_id:
+                # a server may reject a request before it has read the id
+                return True
+            return not request_id or head.request_id == request_id
 
         exchange = await connection.receive(is_expected)
         observed_at = time.monotonic()
--- a/src/jasmineseam/programs/load_prober.py
+++ b/src/jasmineseam/programs/load_prober.py
@@ -150,6 +150,6 @@
             self._news.note_report(load.server_id, head.report, observed_at)
             dispatcher.pump()
 
-    def _is_probe_answer(self, headers: t.Any) -> bool:
+    def _is_probe_answer(self, status: int, headers: t.Any) -> bool:
         # the late answer to an earlier request names that request
-        return not self._protocol.decode_response(200, headers).request_id
+        return not self._protocol.decode_response(status, headers).request_id
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -44,7 +44,7 @@
 from .store_follower import Store
 from .store_follower import StoreFollower
 
-NEWS_PERIOD_S = 0.015
+NEWS_PERIOD_S = 0.02
 UPKEEP_PERIOD_S = 0.5
 # a peer's report that is older on arrival tells nothing of the present
 MAX_REPORT_AGE_S = 1.0
@@ -113,7 +113,7 @@
         self._entry_runner: web.ServerRunner | None = None
         self._chooser = random.Random()
         self.answered_locations = 0
-        self.registry = Registry(clock=time.monotonic)
+        self.registry = Registry(clock=time.monotonic, on_change=lambda: self.gateway.refresh())
         self.news = LoadNews()
         self.journal = RequestJournal(write=output.write, lines_per_s=options.log_lines_per_s)
         self.gateway = Gateway(
@@ -198,7 +198,6 @@
             self._take_load(message)
         elif isinstance(message, ServersNotice):
             self.follower.take_notice(message)
-            self.gateway.refresh()
         elif isinstance(message, TableNotice):
             self._take_table(message.table, "peer")
 
@@ -327,7 +326,6 @@
             return
         self.registry.note_read(age_s)
         self.registry.take_all(listings, position)
-        self.gateway.refresh()
         self.logger.info("Took {} servers from a peer, {:.2f} s old.", len(listings), age_s)
 
     def _take_load(self, notice: LoadNotice) -> None:
@@ -362,7 +360,6 @@
         while True:
             await asyncio.sleep(UPKEEP_PERIOD_S)
             self.gateway.nodes = self.mesh.count_known()
-            self.gateway.refresh()
             addresses = {listing.server.address for listing in self.registry.list_all()}
             self.gateway.connections.expire(addresses)
             self.mesh.forget()
--- a/src/jasmineseam/transport/connection.py
+++ b/src/jasmineseam/transport/connection.py
@@ -93,10 +93,10 @@
         except _TRANSPORT_ERRORS as error:
             raise AttemptLostError("connection-broke") from error
 
-    async def receive(self, is_expected: t.Callable[[t.Any], bool]) -> Exchange:
+    async def receive(self, is_expected: t.Callable[[int, t.Any], bool]) -> Exchange:
         """Read the head of the response that is expected, passing over others.
 
-        :param is_expected: tells by its headers whether a response is the one wanted.
+        :param is_expected: tells by status and headers whether a response is the one wanted.
         :raises AttemptLostError: if the connection breaks first, or brings something else.
         """
         while True:
@@ -106,7 +106,7 @@
                 raise AttemptLostError("no-response") from error
             if 100 <= message.code < 200:
                 continue
-            if is_expected(message.headers):
+            if is_expected(message.code, message.headers):
                 self._note_head(message)
                 return Exchange(message.code, message.reason, message.headers, payload)
             await self._skip(payload)
--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,190 @@
+"""A small deployment in one loop: stand-in store and instances, and real nodes."""
+
+import asyncio
+import contextlib
+import itertools
+import socket
+import time
+
+import aiohttp
+import yarl
+from aiohttp import web
+
+from jasmineseam.operations.node_settings import NodeListeners
+from jasmineseam.operations.node_settings import NodeOptions
+from jasmineseam.operations.node_settings import NodeSettings
+from jasmineseam.operations.node_settings import NodeVm
+from jasmineseam.operations.node_settings import RetryLimits
+from jasmineseam.operations.output import LineOutput
+from jasmineseam.operations.settings import MetricSettings
+from jasmineseam.platform.program import make_node
+from standins.instance import StandInInstance
+from standins.store import StandInStore
+
+HOST = "127.0.0.1"
+OPTIONS = NodeOptions(metrics=MetricSettings(exporter="none"), fatal_invariants=True)
+_ids = itertools.count(1)
+
+
+def find_ports(count):
+    """Return ports that the kernel has free."""
+    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def build_route(prefix, service="fit", kind="safe", **more):
+    """Return one route of a configuration."""
+    return {
+        "name": f"r{prefix}",
+        "host": "fit.example",
+        "path-prefix": prefix,
+        "type": kind,
+        "timeout": "1500ms",
+        "target-latency": "500ms",
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2,
+        **more,
+    }
+
+
+def build_configuration(version, routes, services=("fit", "other")):
+    """Return a configuration as the operator writes it."""
+    return {
+        "version": f"{version:08x}",
+        "routes": routes,
+        "services": [
+            {"name": name, "health-path": "/healthz", "max-conns": 260} for name in services
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 1_000_000,
+            "header-timeout": "3000ms",
+            "idle-timeout": "15000ms",
+        },
+    }
+
+
+ROUTES = [
+    build_route("/safe/"),
+    build_route("/order/", kind="unsafe"),
+    build_route("/pull/", kind="download"),
+]
+
+
+async def wait_until(condition, what, within_s=10.0):
+    """Wait until a condition holds."""
+    until = time.monotonic() + within_s
+    while not condition():
+        assert time.monotonic() < until, f"not within {within_s} s: {what}"
+        await asyncio.sleep(0.01)
+
+
+class Deployment:
+    """Stand-ins, and nodes that speak with them."""
+
+    def __init__(self):
+        self.store = StandInStore()
+        self.store_address = ""
+        self.instances = {}
+        self.nodes = []
+        self.settings = {}
+        self._stack = contextlib.AsyncExitStack()
+        self.session = None
+
+    async def __aenter__(self):
+        server = web.Server(self.store.answer, handler_cancellation=True, access_log=None)
+        runner = web.ServerRunner(server, shutdown_timeout=0.05)
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, HOST, 0).start()
+        self.store_address = f"{HOST}:{runner.addresses[0][1]}"
+        self.session = aiohttp.ClientSession()
+        self._stack.push_async_callback(self.session.close)
+        return self
+
+    async def __aexit__(self, *error):
+        for node in self.nodes:
+            await node.stop()
+        for instance in self.instances.values():
+            await instance.stop()
+        await self._stack.aclose()
+
+    def configure(self, version=1, routes=None, **more):
+        """Write a configuration."""
+        routes = ROUTES if routes is None else routes
+        self.store.put("keyed.op", "config", build_configuration(version, routes, **more))
+
+    async def add_instance(self, name, service="fit", **more):
+        """Start an instance and enter it in the store."""
+        instance = StandInInstance(instance_id=name, service=service, **more)
+        await instance.start()
+        self.instances[name] = instance
+        self.enter(name)
+        return instance
+
+    def enter(self, name, **more):
+        """Write an instance's entry."""
+        self.store.put("keyed.servers", name, self.instances[name].describe(**more))
+
+    def build_settings(self, name, domain="d1", **more):
+        """Return the settings of a node."""
+        entry, readiness, locator, peers, notices = find_ports(5)
+        fields = {
+            "vm": NodeVm(id=name, address=HOST, failure_domain=domain),
+            "listeners": NodeListeners(
+                entry=f"{HOST}:{entry}",
+                readiness=f"{HOST}:{readiness}",
+                locator=f"{HOST}:{locator}",
+                peers=f"{HOST}:{peers}",
+                notices=f"{HOST}:{notices}",
+            ),
+            "store_address": self.store_address,
+            "seed_peers": [node.settings.listeners.peers for node in self.nodes][:3],
+            "retries": RetryLimits(share=0.2, allowance=60.0, window_s=10.0),
+            "probes_per_s": 60.0,
+            "grace_s": 2.0,
+            "longest_lifetime_s": 5.0,
+        }
+        return NodeSettings(**{**fields, **more})
+
+    async def add_node(self, name, *, ready=True, options=OPTIONS, **more):
+        """Start a node, and wait until it is ready."""
+        settings = self.build_settings(name, **more)
+        node = make_node(settings, options, LineOutput(descriptor=2))
+        await node.start()
+        self.nodes.append(node)
+        if ready:
+            await wait_until(lambda: node.ready and self.knows_servers(node), f"{name} is ready")
+        return node
+
+    def knows_servers(self, node):
+        """Tell whether a node holds all instances."""
+        return node.registry.count() >= len(self.instances)
+
+    async def ask(self, node, path, *, method="GET", body=None, host="fit.example", **headers):
+        """Send one request to a node; returns status, headers and body."""
+        request_id = headers.pop("request_id", f"q{next(_ids)}")
+        sent = {"Host": host, "Jasmineseam-Request-Id": request_id}
+        sent["Jasmineseam-Deadline-Ms"] = str(headers.pop("deadline_ms", 2000))
+        sent.update(headers)
+        url = yarl.URL(f"http://{node.settings.listeners.entry}{path}", encoded=True)
+        async with self.session.request(method, url, data=body, headers=sent) as response:
+            return response.status, response.headers, await response.read()
+
+    def count_runs(self, request_id):
+        """Return how often instances have run a request."""
+        return sum(instance.runs[request_id] for instance in self.instances.values())
+
+
+def play(scenario):
+    """Run a scenario with a new deployment."""
+
+    async def run():
+        async with Deployment() as deployment:
+            await scenario(deployment)
+
+    asyncio.run(run())
