--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -157,7 +157,7 @@
         self._budgets: dict[str, WindowBudget] = {}
         self.connections = ServerConnections()
         self.dispatchers: dict[str, Dispatcher] = {}
-        self.nodes = 1
+        self._nodes = 1
         self.closing = False
         self.in_flight = 0
         self.outcomes: collections.Counter[str] = collections.Counter()
@@ -167,6 +167,12 @@
         """The routing table in force."""
         return None if self._index is None else self._index.table
 
+    def set_nodes(self, count: int) -> None:
+        """Take the number of nodes that share the servers."""
+        self._nodes = count
+        for dispatcher in self.dispatchers.values():
+            dispatcher.nodes = count
+
     def take_table(self, table: RoutingTable) -> bool:
         """Put a routing table in force, unless a newer one is; returns whether it was taken."""
         if self._index is not None and table.version <= self._index.table.version:
@@ -193,6 +199,7 @@
                 clock=time.monotonic,
                 chooser=self._chooser,
             )
+            dispatcher.nodes = self._nodes
             self.dispatchers[service] = dispatcher
             self._refresh_service(service)
         return dispatcher
@@ -470,7 +477,7 @@
                 clock=time.monotonic,
             )
             self._budgets[service] = budget
-        budget.nodes = self.nodes
+        budget.nodes = self._nodes
         return budget
 
     def _refresh_service(self, service: str) -> None:
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -359,7 +359,7 @@
     async def _keep_up(self) -> None:
         while True:
             await asyncio.sleep(UPKEEP_PERIOD_S)
-            self.gateway.nodes = self.mesh.count_known()
+            self.gateway.set_nodes(self.mesh.count_known())
             addresses = {listing.server.address for listing in self.registry.list_all()}
             self.gateway.connections.expire(addresses)
             self.mesh.forget()
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -77,6 +77,8 @@
         self.loads: dict[str, ServerLoad] = {}
         self.slowness = SlownessAverage()
         self.usual_s = DEFAULT_USUAL_S
+        # nodes that share the servers
+        self.nodes = 1
         self._waiters: list[_Waiter] = []
         self._timer: asyncio.TimerHandle | None = None
         self._finished: collections.deque[float] = collections.deque()
@@ -161,8 +163,13 @@
         now = self._clock()
         while self._finished and self._finished[0] < now - RATE_WINDOW_S:
             self._finished.popleft()
-        rate_per_s = max(1.0, len(self._finished) / RATE_WINDOW_S)
-        return len(self._waiters) / rate_per_s
+        measured_per_s = len(self._finished) / RATE_WINDOW_S
+        return len(self._waiters) / max(1.0, measured_per_s, self._estimate_rate_per_s())
+
+    def _estimate_rate_per_s(self) -> float:
+        """Return what the servers can finish for this node if all nodes ask for the same."""
+        slots = sum(load.slots for load in self.loads.values())
+        return slots / (self.usual_s * max(1.0, self.slowness.value)) / self.nodes
 
     def _choose(self, excluded: set[str], now: float) -> tuple[Estimate | None, Estimate | None]:
         loads = self.loads.values()
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,183 @@
+"""The adapter: the platform's settings, records and headers become the product's types."""
+
+import json
+
+import pytest
+
+from jasmineseam.exceptions import RecordInvalidError
+from jasmineseam.exceptions import SettingsError
+from jasmineseam.platform.headers import decode_request
+from jasmineseam.platform.headers import decode_response
+from jasmineseam.platform.headers import encode_request
+from jasmineseam.platform.records import decode_change
+from jasmineseam.platform.records import decode_configuration
+from jasmineseam.platform.records import decode_listing
+from jasmineseam.platform.settings import load_settings
+from jasmineseam.platform.settings import parse_settings
+from jasmineseam.platform.store import KeyedRecord
+from tests.deployment import build_configuration
+from tests.deployment import build_route
+
+SETTINGS = """
+[self]
+node-name = "vm-1"
+role = "node"
+ip = "10.1.0.35"
+zone = "z1"
+bootstrap = true
+new-field = 7
+[network]
+internal-ports = [7660, 7675]
+seeds = ["10.1.0.35:8146"]
+[network.listen]
+front = "10.1.0.35:8144"
+ready = "10.1.0.35:8140"
+control = "10.1.0.35:8146"
+directory = "10.1.0.35:8143"
+[platform.platform]
+address = "10.200.1.7:8142"
+[terms.bounds]
+grace = "6s"
+retry-budget-ratio = 0.2
+budget-window = "10s"
+retry-budget-slack = 62
+ttl_max = "5s"
+probes-per-s = 60
+"""
+
+
+def test_settings_are_decoded():
+    settings = parse_settings(SETTINGS, "test")
+    assert settings.vm.id == "vm-1"
+    assert settings.vm.failure_domain == "z1"
+    assert settings.listeners.entry == "10.1.0.35:8144"
+    assert settings.listeners.notices == "10.1.0.35:7660"
+    assert settings.store_address == "10.200.1.7:8142"
+    assert (settings.grace_s, settings.longest_lifetime_s) == (6.0, 5.0)
+    assert settings.retries.allowance == 62.0
+    assert settings.first_start
+
+
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ('zone = "z1"', ""),
+        ('ip = "10.1.0.35"', "ip = 7"),
+        ('grace = "6s"', 'grace = "6 hours"'),
+        ("[self]", "[self"),
+        ("internal-ports = [7660, 7675]", "internal-ports = []"),
+    ],
+)
+def test_settings_that_lack_what_a_node_needs_are_refused(old, new):
+    with pytest.raises(SettingsError):
+        parse_settings(SETTINGS.replace(old, new), "test")
+
+
+@pytest.mark.parametrize("environment", [{}, {"JASMINESEAM_NODE_FILE": "/nonexistent"}])
+def test_a_settings_file_that_can_not_be_read_is_an_error(environment):
+    with pytest.raises(SettingsError):
+        load_settings(environment)
+
+
+def test_a_configuration_is_decoded():
+    split = build_route("/s/", kind="download", backends=[{"service": "fit", "weight": 9}])
+    del split["service"], split["timeout"]
+    routes = [build_route("/o/", kind="unsafe", timeout="1.5s"), split]
+    value = json.dumps(build_configuration(0x1C, routes)).encode()
+    table = decode_configuration(value)
+    assert table.version == 0x1C
+    first, second = table.routes
+    assert (first.idempotent, first.timeout_s, first.target_s) == (False, 1.5, 0.5)
+    assert (second.idempotent, second.timeout_s) == (True, None)
+    assert [(part.service, part.weight) for part in second.services] == [("fit", 9.0)]
+    assert table.limits.idle_timeout_s == 15.0
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": "not hex"},
+        {"routes": [build_route("/a/", timeout="soon")]},
+        {"routes": [{**build_route("/a/"), "path-prefix": "a"}]},
+        {"routes": [{**build_route("/a/"), "service": None}]},
+        {"services": None},
+    ],
+)
+def test_a_malformed_configuration_is_refused_as_a_whole(change):
+    value = json.dumps({**build_configuration(1, [build_route("/a/")]), **change}).encode()
+    with pytest.raises(RecordInvalidError):
+        decode_configuration(value)
+    with pytest.raises(RecordInvalidError):
+        decode_configuration(value[:-5])
+
+
+ENTRY = {
+    "service": "fit",
+    "address": "10.0.0.1:80",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "warmup-left": "1500ms",
+    "sequence": 4,
+    "born": 17,
+}
+
+
+def test_a_servers_entry_is_decoded():
+    listing = decode_listing(KeyedRecord(key="i-1", value=json.dumps(ENTRY).encode()))
+    assert (listing.server.server_id, listing.server.leaving) == ("i-1", False)
+    assert (listing.slots, listing.warmup_s, listing.started_ms) == (4, 1.5, 17)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": 7},
+        {"address": "somewhere"},
+        {"address": None},
+        {"slots": 0},
+        {"slots": "4"},
+        {"state": "asleep"},
+        {"sequence": -1},
+        {"born": "now"},
+        {"warmup-left": 3},
+    ],
+)
+def test_an_entry_of_another_kind_names_no_server(change):
+    record = KeyedRecord(key="i-1", value=json.dumps({**ENTRY, **change}).encode())
+    with pytest.raises(RecordInvalidError):
+        decode_listing(record)
+    decoded, error = decode_change(record)
+    assert decoded.listing is None
+    assert error.key == "i-1"
+
+
+def test_a_removed_key_is_a_removal_without_an_error():
+    decoded, error = decode_change(KeyedRecord(key="i-1", value=b""))
+    assert (decoded.listing, error) == (None, None)
+
+
+def test_headers_of_a_request():
+    head = decode_request({"Jasmineseam-Request-Id": "q", "Jasmineseam-Deadline-Ms": "1500"})
+    assert (head.request_id, head.remaining_s) == ("q", 1.5)
+    assert decode_request({}).remaining_s is None
+    with pytest.raises(ValueError):
+        decode_request({"Jasmineseam-Deadline-Ms": "soon"})
+    assert dict(encode_request("q", 0.25, "i-1"))["Jasmineseam-Deadline-Ms"] == "250"
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "signed", "not_run"),
+    [
+        (200, {"Jasmineseam-Response-Signature": "s"}, True, False),
+        (200, {}, False, False),
+        (200, {"Jasmineseam-Response-Signature": "s", "Content-Encoding": "gzip"}, False, False),
+        (503, {"Jasmineseam-Not-Executed": "1"}, False, True),
+        (503, {}, False, False),
+        (421, {"Jasmineseam-Instance-Id": "i-2"}, False, True),
+    ],
+)
+def test_headers_of_a_response(status, headers, signed, not_run):
+    head = decode_response(status, headers)
+    assert (head.signed, head.not_run) == (signed, not_run)
