Place requests that can still be in time before those that can not

Cause: the queue was ordered by target, so under overload the head of it was always a request that had just missed its target; it took the next free slot and made the one behind it late too.

Ruled out: refusing late requests outright; they still get slots that nobody else has use for.

--- a/src/jasmineseam/operations/node_settings.py
+++ b/src/jasmineseam/operations/node_settings.py
@@ -103,6 +103,8 @@
     """The operator's own settings of a node.
 
     :param lifetime_s: how long a caller may keep a locator's answer, in seconds.
+    :param caller_round_trip_s: time from a caller to a node and back, in seconds; it is taken off
+        the time in which a request should be answered.
     :param log_lines_per_s: lines that a process writes at most, averaged over a second.
     :param metrics_port: port of the metrics page on the VM's address; 0 for none.
     :param fatal_invariants: end a request with an error when an invariant breaks; for tests.
@@ -116,6 +118,7 @@
     )
     probes: ProbeOptions = msgspec.field(default_factory=ProbeOptions)
     lifetime_s: Seconds = 1.0
+    caller_round_trip_s: t.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.01
     log_lines_per_s: PositiveCount = 200
     metrics_port: t.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
     fatal_invariants: bool = False
--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -133,6 +133,7 @@
     :param retries: the bound on extra attempts.
     :param news: takes what is learnt of load, for the peers.
     :param journal: takes a line for each request.
+    :param caller_round_trip_s: time from a caller to the node and back, in seconds.
     """
 
     def __init__(
@@ -144,7 +145,9 @@
         retries: RetryLimits,
         news: LoadNews,
         journal: RequestJournal,
+        caller_round_trip_s: float = 0.0,
     ) -> None:
+        self._caller_round_trip_s = caller_round_trip_s
         self._failure_domain = failure_domain
         self._protocol = protocol
         self._registry = registry
@@ -276,7 +279,7 @@
             remaining_s = min(remaining_s, route.timeout_s)
         ours.deadline_at = ours.arrived_at + remaining_s
         target_s = remaining_s if route.target_s is None else min(route.target_s, remaining_s)
-        ours.target_at = ours.arrived_at + target_s
+        ours.target_at = ours.arrived_at + max(0.0, target_s - self._caller_round_trip_s)
         if request.body_exists:
             limits = index.table.limits
             ours.body = await read_body(request, limits.body_bytes, remaining_s)
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -123,6 +123,7 @@
             retries=settings.retries,
             news=self.news,
             journal=self.journal,
+            caller_round_trip_s=options.caller_round_trip_s,
         )
         self._notice_sender = NoticeSender(context=self.context)
         self._notice_receiver: NoticeReceiver | None = None
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -3,8 +3,8 @@
 Load: bursts beyond what the servers can run at once, and hosts that are slow for a moment. A
 request that would miss its target at every server with a free slot waits here, where it can still
 go to whichever server becomes fast or free first, but only while it can meet the target. After
-that it takes the best slot there is, or is refused at once if none can answer in time. More urgent
-requests go first.
+that it takes a slot that nobody who can still be in time has use for, or is refused at once if
+there is none. More urgent requests go first.
 """
 
 from __future__ import annotations
@@ -95,14 +95,14 @@
         """
         now = self._clock()
         self.requested_at = now
-        if not any(w.wanted.priority <= wanted.priority for w in self._waiters):
-            load = self._try_place(wanted, now)
+        if not self._has_waiters_in_time(now, wanted.priority):
+            chosen = self._choose(wanted.excluded, now)
+            load = self._judge(wanted, now, *chosen, contended=False)
             if load is not None:
                 return load
         self._check_room(wanted, now)
         waiter = _Waiter(wanted, now, asyncio.get_running_loop().create_future())
         self._waiters.append(waiter)
-        self._waiters.sort(key=lambda one: (one.wanted.priority, one.wanted.target_at))
         self._start_timer()
         try:
             return await waiter.placed
@@ -135,7 +135,8 @@
         now = self._clock()
         # one choice serves all that wait, until a request is placed
         choice = None
-        for waiter in list(self._waiters):
+        contended = False
+        for waiter in self._sort_waiters(now):
             if waiter.placed.done():
                 continue
             wanted = waiter.wanted
@@ -145,12 +146,13 @@
             else:
                 chosen = choice
             try:
-                load = self._judge(wanted, now, *chosen)
+                load = self._judge(wanted, now, *chosen, contended=contended)
             except NotRunError as error:
                 waiter.placed.set_exception(error)
                 self._waiters.remove(waiter)
                 continue
             if load is None:
+                contended = True
                 continue
             choice = None
             self._waiters.remove(waiter)
@@ -184,19 +186,45 @@
             chooser=self._chooser,
         )
 
-    def _try_place(self, wanted: Wanted, now: float) -> ServerLoad | None:
-        return self._judge(wanted, now, *self._choose(wanted.excluded, now))
+    def _can_be_in_time(self, wanted: Wanted, now: float) -> bool:
+        return now + TARGET_RUN_FACTOR * self.usual_s < wanted.target_at
+
+    def _has_waiters_in_time(self, now: float, priority: int) -> bool:
+        for waiter in self._waiters:
+            wanted = waiter.wanted
+            if wanted.priority <= priority and self._can_be_in_time(wanted, now):
+                return True
+        return False
+
+    def _sort_waiters(self, now: float) -> list[_Waiter]:
+        """Return those that can still be in time before the others, the most urgent first."""
+
+        def rank(waiter: _Waiter) -> tuple[bool, int, float]:
+            wanted = waiter.wanted
+            late = not self._can_be_in_time(wanted, now)
+            return (late, wanted.priority, wanted.target_at)
+
+        return sorted(self._waiters, key=rank)
 
     def _judge(
-        self, wanted: Wanted, now: float, best_free: Estimate | None, best: Estimate | None
+        self,
+        wanted: Wanted,
+        now: float,
+        best_free: Estimate | None,
+        best: Estimate | None,
+        *,
+        contended: bool,
     ) -> ServerLoad | None:
-        """Return where to go now, ``None`` to wait."""
+        """Return where to go now, ``None`` to wait.
+
+        :param contended: whether others wait that can still be in time.
+        """
         if best is None:
             raise NotRunError("no-server", 503, NO_SERVER_RETRY_AFTER_S)
         usual_s = self.usual_s
         if best_free is not None and now + best_free.factor * usual_s <= wanted.target_at:
             return best_free.load
-        if now + TARGET_RUN_FACTOR * usual_s < wanted.target_at:
+        if self._can_be_in_time(wanted, now):
             return None
         if now >= wanted.deadline_at:
             raise NotRunError("deadline", 503, MIN_RETRY_AFTER_S)
@@ -204,7 +232,7 @@
             return best_free.load
         count = best.load.count_in_flight(now)
         has_room = count < best.load.slots * (1.0 + SERVER_QUEUE_SHARE)
-        if has_room and now + best.factor * usual_s < wanted.deadline_at:
+        if has_room and not contended and now + best.factor * usual_s < wanted.deadline_at:
             return best.load
         raise NotRunError("overloaded", 503, self._compute_retry_after_s())
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -269,3 +269,28 @@
         assert len(await asyncio.gather(*waits)) == 4
 
     asyncio.run(scenario())
+
+
+def test_under_overload_those_that_can_be_in_time_go_before_those_that_can_not():
+    """Two requests wait for one slot; one of them has just missed its target."""
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        load = make_load("a", slots=1, running=1, now=now)
+        dispatcher = make_dispatcher(loop.time, load, usual_s=0.05)
+        late = asyncio.ensure_future(
+            dispatcher.place(want(target_at=now + 0.08, deadline_at=now + 1.0))
+        )
+        await asyncio.sleep(0.005)
+        timely = asyncio.ensure_future(
+            dispatcher.place(want(target_at=now + 0.4, deadline_at=now + 1.0))
+        )
+        await asyncio.sleep(0.02)
+        load.end(next(iter(load.running)))
+        dispatcher.note_finished()
+        assert (await timely).server_id == "a"
+        with pytest.raises(NotRunError):
+            await late
+
+    asyncio.run(scenario())
