Hedge a safe request when the host of its server turns slow

It now starts when a fresh report says that the host has turned slow, or the attempt is overdue, as long as another server can still answer in time.

Ruled out: a fixed earlier delay, which would spend the shared bound on requests about to end.

--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -42,9 +42,14 @@
 MAX_UNSENT = 5
 # a kept connection that was idle for longer may be closing just now, in seconds
 UNREPEATABLE_IDLE_S = 4.0
-# after this multiple of the expected time a second server is tried
-HEDGE_FACTOR = 1.8
+# part of the bound on extra attempts that hedges leave to retries
 HEDGE_RESERVE = 0.25
+# how often a running attempt is looked at, in seconds
+HEDGE_CHECK_S = 0.02
+# a host that has become so slow while it runs a request is not waited for
+HEDGE_SLOWNESS = 1.8
+# nor is an attempt that has taken this many times the usual
+HEDGE_OVERDUE = 1.6
 CONNECT_EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
 # part of the time left that is kept for the answer's way back, in seconds
@@ -107,6 +112,7 @@
         "sent",
         "target_at",
         "trace",
+        "usual_s",
         "version",
     )
 
@@ -117,6 +123,7 @@
         self.head = RequestHead(request_id="", remaining_s=None)
         self.version = -1
         self.excluded: set[str] = set()
+        self.usual_s = 0.0
         # servers that may have received it
         self.attempts = 0
         self.sent = False
@@ -287,6 +294,7 @@
     async def _run(self, ours: _Request) -> _Answer:
         service = self._splits.pick(ours.route)
         ours.dispatcher = self.get_dispatcher(service)
+        ours.usual_s = ours.dispatcher.get_usual_s(ours.route.name)
         budget = self._get_budget(service)
         budget.note_request()
         try:
@@ -339,7 +347,13 @@
         raise NotRunError(reason, 503, retry_after_s)
 
     def _describe_want(self, ours: _Request) -> Wanted:
-        return Wanted(ours.route.priority, ours.target_at, ours.deadline_at, ours.excluded)
+        return Wanted(
+            priority=ours.route.priority,
+            usual_s=ours.usual_s,
+            target_at=ours.target_at,
+            deadline_at=ours.deadline_at,
+            excluded=ours.excluded,
+        )
 
     async def _attempt_hedged(
         self, ours: _Request, load: ServerLoad, budget: WindowBudget
@@ -349,19 +363,25 @@
         if not route.idempotent or ours.attempts + 1 >= route.max_attempts:
             return await first
         dispatcher = ours.dispatcher
+        began_at = time.monotonic()
 
         def start_second() -> t.Coroutine | None:
-            left_s = ours.target_at - time.monotonic()
-            other = dispatcher.pick_hedge(ours.excluded, left_s)
+            now = time.monotonic()
+            overdue = now - began_at > HEDGE_OVERDUE * ours.usual_s
+            if not overdue and load.get_fresh_slowness(now) < HEDGE_SLOWNESS:
+                return None
+            left_s = ours.target_at - now
+            other = dispatcher.pick_hedge(ours.excluded, ours.usual_s, left_s)
             if other is None or not budget.take(HEDGE_RESERVE):
                 return None
             return self._attempt(ours, other)
 
         return await race_attempts(
             first,
-            delay_s=HEDGE_FACTOR * dispatcher.usual_s,
+            delay_s=HEDGE_CHECK_S,
             start_second=start_second,
             is_good=_is_good,
+            recheck_s=HEDGE_CHECK_S,
         )
 
     async def _attempt(self, ours: _Request, load: ServerLoad) -> _Answer:
@@ -381,7 +401,7 @@
             failed = answer.status >= SERVER_ERROR
             load.note_outcome(failed, finished_at)
             if not failed:
-                dispatcher.note_latency(finished_at - began_at, slowness)
+                dispatcher.note_latency(ours.route.name, finished_at - began_at, slowness)
             return answer
         except AttemptError as error:
             result = error.reason
--- a/src/jasmineseam/programs/hedge.py
+++ b/src/jasmineseam/programs/hedge.py
@@ -21,6 +21,7 @@
     delay_s: float,
     start_second: t.Callable[[], t.Coroutine[t.Any, t.Any, T] | None],
     is_good: t.Callable[[T], bool],
+    recheck_s: float | None = None,
 ) -> T:
     """Return the first good answer of two attempts; the other one is cancelled.
 
@@ -28,6 +29,8 @@
     :param delay_s: after what time the second is started, in seconds.
     :param start_second: returns the second attempt, or ``None`` if there may be none.
     :param is_good: tells whether an answer ends the race.
+    :param recheck_s: after what time *start_second* is asked again if there was none, in seconds;
+        ``None`` to ask once.
     :raises AttemptError: of the first attempt, if neither brought an answer.
     """
     loop = asyncio.get_running_loop()
@@ -37,9 +40,11 @@
     won = False
 
     def start() -> None:
-        nonlocal second
+        nonlocal second, timer
         attempt = start_second()
         if attempt is None:
+            if recheck_s is not None:
+                timer = loop.call_later(recheck_s, start)
             return
         second = loop.create_task(attempt)
         second.add_done_callback(finish)
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -38,12 +38,14 @@
     """What a request needs of a server.
 
     :param priority: 0 is the most urgent.
+    :param usual_s: time that it takes on a host of usual speed, in seconds.
     :param target_at: when its answer should be there, on the clock.
     :param deadline_at: when its answer is worth nothing any more, on the clock.
     :param excluded: ids of servers that it has been at.
     """
 
     priority: int
+    usual_s: float
     target_at: float
     deadline_at: float
     excluded: set[str]
@@ -77,6 +79,7 @@
         self.loads: dict[str, ServerLoad] = {}
         self.slowness = SlownessAverage()
         self.usual_s = DEFAULT_USUAL_S
+        self._usual_by_kind: dict[str, float] = {}
         # nodes that share the servers
         self.nodes = 1
         self._waiters: list[_Waiter] = []
@@ -110,18 +113,29 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
-    def pick_hedge(self, excluded: set[str], within_s: float) -> ServerLoad | None:
-        """Return a server that would answer within a time, ``None`` if none is expected to."""
+    def pick_hedge(self, excluded: set[str], usual_s: float, within_s: float) -> ServerLoad | None:
+        """Return a server that would answer within a time, ``None`` if none is expected to.
+
+        :param usual_s: time that the request takes on a host of usual speed, in seconds.
+        """
         now = self._clock()
         best, _ = self._choose(excluded, now)
-        if best is None or best.factor * self.usual_s > within_s:
+        if best is None or best.factor * usual_s > within_s:
             return None
         return best.load
 
-    def note_latency(self, latency_s: float, slowness: float) -> None:
-        """Learn from a whole answer how long work takes on a host of usual speed."""
-        usual_s = latency_s / max(1.0, slowness)
-        self.usual_s += USUAL_GAIN * (min(usual_s, 4 * self.usual_s) - self.usual_s)
+    def get_usual_s(self, kind: str) -> float:
+        """Return the time that a kind of request takes on a host of usual speed, in seconds."""
+        return self._usual_by_kind.get(kind, self.usual_s)
+
+    def note_latency(self, kind: str, latency_s: float, slowness: float) -> None:
+        """Learn from a whole answer how long work takes on a host of usual speed.
+
+        :param kind: the request's route.
+        """
+        taken_s = latency_s / max(1.0, slowness)
+        self.usual_s = _blend(self.usual_s, taken_s)
+        self._usual_by_kind[kind] = _blend(self.get_usual_s(kind), taken_s)
 
     def note_finished(self) -> None:
         """Note that a request has ended, whichever way, so that a slot may be free."""
@@ -187,7 +201,7 @@
         )
 
     def _can_be_in_time(self, wanted: Wanted, now: float) -> bool:
-        return now + TARGET_RUN_FACTOR * self.usual_s < wanted.target_at
+        return now + TARGET_RUN_FACTOR * wanted.usual_s < wanted.target_at
 
     def _has_waiters_in_time(self, now: float, priority: int) -> bool:
         for waiter in self._waiters:
@@ -221,7 +235,7 @@
         """
         if best is None:
             raise NotRunError("no-server", 503, NO_SERVER_RETRY_AFTER_S)
-        usual_s = self.usual_s
+        usual_s = wanted.usual_s
         if best_free is not None and now + best_free.factor * usual_s <= wanted.target_at:
             return best_free.load
         if self._can_be_in_time(wanted, now):
@@ -257,3 +271,8 @@
         self.pump()
         if self._waiters:
             self._start_timer()
+
+
+def _blend(held_s: float, taken_s: float) -> float:
+    # one request that met a stuck server should not move the estimate far
+    return held_s + USUAL_GAIN * (min(taken_s, 4 * held_s) - held_s)
--- a/src/jasmineseam/routing/load.py
+++ b/src/jasmineseam/routing/load.py
@@ -5,6 +5,8 @@
 from ..measuring.reports import ServerReport
 
 PEER_COUNT_EXPIRY_S = 1.0
+# a report counts as the present state until this age, in seconds
+REPORT_TRUSTED_S = 0.1
 FAILURE_GAIN = 0.25
 # a server's failures weigh half as much after this time, in seconds
 FAILURE_HALF_LIFE_S = 4.0
@@ -82,6 +84,12 @@
             self.slots = report.slots
         return True
 
+    def get_fresh_slowness(self, now: float) -> float:
+        """Return the slowness of the server's host, 1 if the last report is too old to tell."""
+        if self.report is None or now - self.reported_at > REPORT_TRUSTED_S:
+            return 1.0
+        return self.report.slowness
+
     def note_peer_count(self, peer: str, count: int, at: float) -> None:
         """Take a peer's word on how many requests it has at the server."""
         if count:
--- a/src/jasmineseam/routing/placement.py
+++ b/src/jasmineseam/routing/placement.py
@@ -12,11 +12,11 @@
 import random
 import typing as t
 
+from .load import REPORT_TRUSTED_S
 from .load import ServerLoad
 
 # time in which a host's slowness is expected to change, in seconds
 SLOWNESS_MEMORY_S = 0.15
-REPORT_TRUSTED_S = 0.1
 COLD_FACTOR = 2.0
 FAILURE_FACTOR = 8.0
 OTHER_DOMAIN_FACTOR = 1.02
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -35,8 +35,8 @@
     return dispatcher
 
 
-def want(*, target_at=0.3, deadline_at=2.0, priority=1, excluded=()):
-    return Wanted(priority, target_at, deadline_at, set(excluded))
+def want(*, target_at=0.3, deadline_at=2.0, priority=1, usual_s=0.1, excluded=()):
+    return Wanted(priority, usual_s, target_at, deadline_at, set(excluded))
 
 
 PLACEMENTS = [
@@ -88,7 +88,7 @@
         slow = make_load("slow", slowness=8.0, now=now)
         dispatcher = make_dispatcher(loop.time, slow, usual_s=0.02)
         placing = asyncio.ensure_future(
-            dispatcher.place(want(target_at=now + 0.15, deadline_at=now + 2.0))
+            dispatcher.place(want(target_at=now + 0.15, deadline_at=now + 2.0, usual_s=0.02))
         )
         await asyncio.sleep(0.03)
         assert not placing.done()
@@ -106,7 +106,7 @@
         now = loop.time()
         slow = make_load("slow", slowness=8.0, now=now)
         dispatcher = make_dispatcher(loop.time, slow, usual_s=0.02)
-        await dispatcher.place(want(target_at=now + 0.1, deadline_at=now + 2.0))
+        await dispatcher.place(want(target_at=now + 0.1, deadline_at=now + 2.0, usual_s=0.02))
         # it left in time for an answer at the target, had the host been fast by then
         assert loop.time() - now < 0.1
 
@@ -137,7 +137,9 @@
         order = []
 
         async def place(name, priority):
-            wanted = want(target_at=now + 5.0, deadline_at=now + 9.0, priority=priority)
+            wanted = want(
+                target_at=now + 5.0, deadline_at=now + 9.0, priority=priority, usual_s=0.001
+            )
             load = await dispatcher.place(wanted)
             order.append(name)
             token = load.begin(loop.time())
@@ -172,7 +174,7 @@
 
         async def request():
             began_at = loop.time()
-            wanted = want(target_at=began_at + 0.2, deadline_at=began_at + 1.0)
+            wanted = want(target_at=began_at + 0.2, deadline_at=began_at + 1.0, usual_s=work_s)
             try:
                 load = await dispatcher.place(wanted)
             except NotRunError:
@@ -257,7 +259,7 @@
         dispatcher = make_dispatcher(loop.time, load, usual_s=0.01)
         waits = [
             asyncio.ensure_future(
-                dispatcher.place(want(target_at=now + 0.5, deadline_at=now + 1.0))
+                dispatcher.place(want(target_at=now + 0.5, deadline_at=now + 1.0, usual_s=0.01))
             )
             for _ in range(4)
         ]
@@ -280,11 +282,11 @@
         load = make_load("a", slots=1, running=1, now=now)
         dispatcher = make_dispatcher(loop.time, load, usual_s=0.05)
         late = asyncio.ensure_future(
-            dispatcher.place(want(target_at=now + 0.08, deadline_at=now + 1.0))
+            dispatcher.place(want(target_at=now + 0.08, deadline_at=now + 1.0, usual_s=0.05))
         )
         await asyncio.sleep(0.005)
         timely = asyncio.ensure_future(
-            dispatcher.place(want(target_at=now + 0.4, deadline_at=now + 1.0))
+            dispatcher.place(want(target_at=now + 0.4, deadline_at=now + 1.0, usual_s=0.05))
         )
         await asyncio.sleep(0.02)
         load.end(next(iter(load.running)))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -412,3 +412,30 @@
             assert len(probes) / 3.0 <= 60.0
 
     play(scenario)
+
+
+def test_a_safe_request_whose_host_turns_slow_is_tried_at_another_server():
+    async def scenario(deployment):
+        node = await start(deployment)
+        for _ in range(20):
+            await deployment.ask(node, "/safe/1")
+        for instance in deployment.instances.values():
+            instance.behaviour = InstanceBehaviour(work_s=0.3)
+        asking = asyncio.ensure_future(deployment.ask(node, "/safe/1", request_id="h-1"))
+        await wait_until(lambda: deployment.count_runs("h-1"), "the request runs")
+        for instance in deployment.instances.values():
+            slow = bool(instance.runs["h-1"])
+            instance.behaviour = InstanceBehaviour(work_s=0.005, slowness_pct=500 if slow else 100)
+        status, _, _ = await asking
+        assert status == 200
+        assert deployment.count_runs("h-1") == 2
+        orders = [
+            asyncio.ensure_future(
+                deployment.ask(node, "/order/1", method="POST", request_id=f"o-{number}")
+            )
+            for number in range(4)
+        ]
+        await asyncio.gather(*orders)
+        assert [deployment.count_runs(f"o-{number}") for number in range(4)] == [1] * 4
+
+    play(scenario)
