--- a/src/jasmineseam/operations/metrics.py
+++ b/src/jasmineseam/operations/metrics.py
@@ -62,6 +62,23 @@
     )
 
 
+def add_histogram(
+    provider: MeterProvider, name: str, unit: str, text: str, bounds: list[float]
+) -> t.Callable[[float, dict[str, str]], None]:
+    """Export a distribution; returns the function that records a value with its attributes.
+
+    :param bounds: upper bounds of the buckets, in rising order.
+    """
+    meter = provider.get_meter("jasmineseam")
+    histogram = meter.create_histogram(
+        f"jasmineseam.{name}",
+        unit=unit,
+        description=text,
+        explicit_bucket_boundaries_advisory=bounds,
+    )
+    return histogram.record
+
+
 def _make_callback(read: Read) -> t.Callable:
     def observe(_options: metrics.CallbackOptions) -> list[metrics.Observation]:
         return [metrics.Observation(value, attributes) for value, attributes in read()]
--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -170,6 +170,8 @@
         self._nodes = 1
         self.closing = False
         self.in_flight = 0
+        # takes a request's duration in seconds, and its attributes
+        self.record_duration: t.Callable[[float, dict[str, str]], None] = lambda *_: None
         self.outcomes: collections.Counter[str] = collections.Counter()
 
     @property
@@ -255,8 +257,14 @@
             return response
         finally:
             self.in_flight -= 1
-            self.outcomes[outcome] += 1
-            self._journal.note_request(ours, outcome, status, time.monotonic())
+            self._note_ended(ours, outcome, status)
+
+    def _note_ended(self, ours: _Request, outcome: str, status: int) -> None:
+        now = time.monotonic()
+        self.outcomes[outcome] += 1
+        kind = outcome.partition(":")[0]
+        self.record_duration(now - ours.arrived_at, {"outcome": kind})
+        self._journal.note_request(ours, outcome, status, now)
 
     def count_queued(self) -> int:
         """Return how many requests wait for a server."""
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -20,6 +20,7 @@
 from ..operations.journal import RequestJournal
 from ..operations.metrics import add_counter
 from ..operations.metrics import add_gauge
+from ..operations.metrics import add_histogram
 from ..operations.metrics import render_metrics
 from ..operations.node_settings import NodeOptions
 from ..operations.node_settings import NodeSettings
@@ -51,6 +52,7 @@
 KEEPALIVE_S = 75.0
 MAX_HEAD_BYTES = 65_536
 BACKLOG = 1024
+DURATION_BOUNDS_S = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
 STOP_CHECK_S = 0.02
 # parts of the grace period: callers are told of the stop, new connections are refused, the end
 LISTEN_SHARE = 0.45
@@ -445,6 +447,9 @@
         def read_age():
             return [(self.registry.get_age_s(), {})]
 
+        self.gateway.record_duration = add_histogram(
+            self.metrics, "request.duration", "s", "Time to the answer.", DURATION_BOUNDS_S
+        )
         add_counter(self.metrics, "requests", "1", "Requests, by outcome.", read_outcomes)
         add_counter(self.metrics, "probes", "1", "Probes of servers.", read_probes)
         add_counter(self.metrics, "log.dropped", "1", "Log lines left out.", read_lines)
--- /dev/null
+++ b/tests/test_node_program.py
@@ -0,0 +1,151 @@
+"""The node as a process of its own: settings file, metrics, logs, signals."""
+
+import asyncio
+import json
+import os
+import pathlib
+import re
+import signal
+import sys
+
+import aiohttp
+import pytest
+
+from tests.deployment import HOST
+from tests.deployment import Deployment
+from tests.deployment import find_ports
+from tests.deployment import play
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SETTINGS = """
+[self]
+node-name = "vm-1"
+ip = "{host}"
+zone = "d1"
+[network]
+internal-ports = [{notices}, {notices}]
+[network.listen]
+front = "{host}:{entry}"
+ready = "{host}:{ready}"
+control = "{host}:{control}"
+directory = "{host}:{directory}"
+[platform.platform]
+address = "{store}"
+[terms.bounds]
+grace = "2s"
+retry-budget-ratio = 0.2
+budget-window = "10s"
+retry-budget-slack = 60
+ttl_max = "5s"
+probes-per-s = 60
+"""
+NAMES = ("notices", "entry", "ready", "control", "directory", "metrics")
+
+
+class Process:
+    """A node's process, its ports and its output."""
+
+    def __init__(self, process, ports):
+        self.process = process
+        self.ports = ports
+        self.lines = []
+
+    async def read(self):
+        while line := await self.process.stdout.readline():
+            self.lines.append(json.loads(line))
+
+    def find(self, **wanted):
+        return [line for line in self.lines if wanted.items() <= line.items()]
+
+
+async def start_process(deployment: Deployment, folder: pathlib.Path) -> Process:
+    ports = dict(zip(NAMES, find_ports(len(NAMES)), strict=True))
+    settings = folder / "boot.toml"
+    settings.write_text(SETTINGS.format(host=HOST, store=deployment.store_address, **ports))
+    options = folder / "node.json"
+    options.write_text(json.dumps({"metrics_port": ports["metrics"], "fatal_invariants": True}))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(ROOT / "deploy" / "node.py"),
+        "--options-file",
+        str(options),
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, "JASMINESEAM_NODE_FILE": str(settings)},
+    )
+    running = Process(process, ports)
+    running.reading = asyncio.ensure_future(running.read())
+    return running
+
+
+async def wait_ready(deployment, running):
+    url = f"http://{HOST}:{running.ports['ready']}/api/readyz"
+    async with asyncio.timeout(20.0):
+        while True:
+            try:
+                async with deployment.session.get(url) as response:
+                    if response.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.05)
+
+
+async def fetch(deployment, running, path="/safe/1", request_id="q-1"):
+    url = f"http://{HOST}:{running.ports['entry']}{path}"
+    headers = {"Host": "fit.example", "Jasmineseam-Request-Id": request_id}
+    async with deployment.session.get(url, headers=headers) as response:
+        return response.status
+
+
+def test_a_process_serves_explains_itself_and_stops_when_asked(tmp_path):
+    async def scenario(deployment):
+        deployment.configure()
+        await deployment.add_instance("i-1")
+        running = await start_process(deployment, tmp_path)
+        try:
+            await wait_ready(deployment, running)
+            assert await fetch(deployment, running) == 200
+            assert await fetch(deployment, running, "/none/", "q-2") == 404
+            running.process.send_signal(signal.SIGHUP)
+            assert await fetch(deployment, running, request_id="q-3") == 200
+            url = f"http://{HOST}:{running.ports['metrics']}/metrics"
+            async with deployment.session.get(url) as response:
+                page = await response.text()
+            assert re.search(r'jasmineseam_requests_total{[^}]*outcome="answered"[^}]*} 2', page)
+            assert "jasmineseam_request_duration_seconds_bucket" in page
+            running.process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(5.0):
+                assert await running.process.wait() == 0
+                await running.reading
+        finally:
+            if running.process.returncode is None:
+                running.process.kill()
+        (answered,) = running.find(id="q-1")
+        assert answered["outcome"] == "answered"
+        assert answered["table"] == 1
+        assert answered["tried"][0].startswith("i-1:200:")
+        (missing,) = running.find(id="q-2")
+        assert (missing["outcome"], missing["status"]) == ("not-run:no-route", 404)
+        assert running.find(message="Reload asked for.")
+        assert running.find(message="Planned stop begins.")
+        assert running.find(message="Stopped.")
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("text", ["", "[self]\n", "not toml ["])
+def test_a_wrong_settings_file_ends_the_process_with_a_message(tmp_path, text):
+    async def scenario():
+        settings = tmp_path / "boot.toml"
+        settings.write_text(text)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "deploy" / "node.py"),
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "JASMINESEAM_NODE_FILE": str(settings)},
+        )
+        _, error = await process.communicate()
+        assert process.returncode == 2
+        assert str(settings).encode() in error
+
+    asyncio.run(scenario())
