--- a/src/jasmineseam/membership/vms.py
+++ b/src/jasmineseam/membership/vms.py
@@ -91,6 +91,11 @@
             return True
         return _strip(held) != _strip(info)
 
+    def refresh(self, vm_id: str) -> None:
+        """Note that a known VM was heard, though it said nothing of itself."""
+        if vm_id in self._infos:
+            self._heard_at[vm_id] = self._clock()
+
     def take_list(self, listed: dict[str, str]) -> None:
         """Take the platform's list of entry VMs: their ids and states."""
         self._listed = listed
--- a/src/jasmineseam/platform/program.py
+++ b/src/jasmineseam/platform/program.py
@@ -49,6 +49,7 @@
         protocol=PROTOCOL,
         interface=INTERFACE,
         output=output,
+        reload_settings=load_settings,
     )
 
 
--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -185,6 +185,12 @@
         for dispatcher in self.dispatchers.values():
             dispatcher.nodes = count
 
+    def set_retries(self, retries: RetryLimits) -> None:
+        """Take another bound on extra attempts; what the window holds still counts."""
+        self._retries = retries
+        for budget in self._budgets.values():
+            budget.change(retries.share, retries.allowance)
+
     def take_table(self, table: RoutingTable) -> bool:
         """Put a routing table in force, unless a newer one is; returns whether it was taken."""
         if self._index is not None and table.version <= self._index.table.version:
--- a/src/jasmineseam/programs/load_prober.py
+++ b/src/jasmineseam/programs/load_prober.py
@@ -58,7 +58,7 @@
         self._news = news
         self._options = options
         self._own_id = own_id
-        self._limit_per_s = limit_per_s
+        self.limit_per_s = limit_per_s
         self._list_probers = list_probers
         self._intervals: dict[str, float] = {}
         self._intervals_at = float("-inf")
@@ -93,7 +93,7 @@
                     probers,
                     own_id=self._own_id,
                     wanted_s=wanted_s,
-                    limit_per_s=self._limit_per_s,
+                    limit_per_s=self.limit_per_s,
                 )
                 if interval_s is not None:
                     self._intervals[load.server_id] = interval_s
--- a/src/jasmineseam/programs/mesh.py
+++ b/src/jasmineseam/programs/mesh.py
@@ -21,7 +21,7 @@
 
 GOSSIP_PERIOD_S = 0.5
 GOSSIP_TIMEOUT_S = 0.5
-HEARD_FOR_S = 1.3
+HEARD_FOR_S = 0.9
 FORGOTTEN_AFTER_S = 30.0
 # a peer whose list of servers is older than one's own by so much is given the whole list
 LIST_LAG_S = 1.5
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -8,8 +8,10 @@
 import time
 import typing as t
 
+import msgspec
 from aiohttp import web
 
+from ..exceptions import SettingsError
 from ..measuring.duty import Prober
 from ..measuring.reports import ServerReport
 from ..membership.registry import Listing
@@ -83,6 +85,8 @@
     :param close_store: closes it.
     :param protocol: of callers and servers.
     :param interface: of readiness checks and of callers that ask for entries.
+    :param output: where log lines go.
+    :param reload_settings: reads the deployment's settings anew; raises :exc:`SettingsError`.
     """
 
     def __init__(
@@ -94,6 +98,7 @@
         protocol: Protocol,
         interface: Interface,
         output: LineOutput,
+        reload_settings: t.Callable[[], NodeSettings] | None = None,
     ) -> None:
         port = int(settings.listeners.peers.rpartition(":")[2])
         super().__init__(
@@ -109,6 +114,7 @@
         self._protocol = protocol
         self._interface = interface
         self._output = output
+        self._reload_settings = reload_settings
         self._leaving = False
         self._table_ready = asyncio.Event()
         self._runners: list[web.ServerRunner] = []
@@ -196,6 +202,25 @@
             return self.mesh.take_gossip(message)
         return Refused(reason=f"node takes no {type(message).__name__}")
 
+    def reload(self) -> None:
+        """Take changed settings; a file that is wrong changes nothing."""
+        if self._reload_settings is None:
+            return
+        try:
+            settings = self._reload_settings()
+        except SettingsError as error:
+            self.logger.error("Settings not reloaded: {}", error)
+            return
+        held = self.settings
+        if (settings.vm, settings.listeners) != (held.vm, held.listeners):
+            self.logger.warning("Changed addresses take effect at the next start.")
+        self.settings = msgspec.structs.replace(settings, vm=held.vm, listeners=held.listeners)
+        self.gateway.set_retries(settings.retries)
+        self.prober.limit_per_s = settings.probes_per_s
+        for address in settings.seed_peers:
+            self.mesh.meet(address)
+        self.logger.info("Settings reloaded.")
+
     def _take_notice(self, message: Message) -> None:
         if isinstance(message, LoadNotice):
             self._take_load(message)
@@ -332,6 +357,7 @@
         self.logger.info("Took {} servers from a peer, {:.2f} s old.", len(listings), age_s)
 
     def _take_load(self, notice: LoadNotice) -> None:
+        self.mesh.vms.refresh(notice.vm_id)
         now = time.monotonic()
         for item in notice.reports:
             found = self.gateway.find_load(item.server_id)
--- a/src/jasmineseam/routing/window.py
+++ b/src/jasmineseam/routing/window.py
@@ -46,6 +46,11 @@
         self._extra = 0
         self.nodes = 1
 
+    def change(self, share: float, allowance: float) -> None:
+        """Take another bound."""
+        self._share = share * USED_SHARE
+        self._allowance = allowance * USED_ALLOWANCE
+
     def note_request(self) -> None:
         """Note a request's arrival."""
         self._get_bucket()[1] += 1
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -15,6 +15,7 @@
 from tests.deployment import Deployment
 from tests.deployment import find_ports
 from tests.deployment import play
+from tests.deployment import wait_until
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SETTINGS = """
@@ -106,7 +107,15 @@
             await wait_ready(deployment, running)
             assert await fetch(deployment, running) == 200
             assert await fetch(deployment, running, "/none/", "q-2") == 404
+            settings = tmp_path / "boot.toml"
+            text = settings.read_text()
+            settings.write_text("[self")
             running.process.send_signal(signal.SIGHUP)
+            await wait_until(lambda: running.find(level="ERROR"), "the wrong file is refused")
+            settings.write_text(text.replace("probes-per-s = 60", "probes-per-s = 5"))
+            running.process.send_signal(signal.SIGHUP)
+            reloaded = "Settings reloaded."
+            await wait_until(lambda: running.find(message=reloaded), "the right file is taken")
             assert await fetch(deployment, running, request_id="q-3") == 200
             url = f"http://{HOST}:{running.ports['metrics']}/metrics"
             async with deployment.session.get(url) as response:
