Close idle callers' connections by their transport in a planned stop

Cause: aiohttp's pre_shutdown ends the task of an idle connection but leaves it open; a request that came on it later was read by nobody and lost at the end of the process.

--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -169,6 +169,8 @@
         self.dispatchers: dict[str, Dispatcher] = {}
         self._nodes = 1
         self.closing = False
+        # callers' connections that hold a request
+        self.busy: set[t.Any] = set()
         self.in_flight = 0
         # takes a request's duration in seconds, and its attributes
         self.record_duration: t.Callable[[float, dict[str, str]], None] = lambda *_: None
@@ -242,6 +244,8 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
         self.in_flight += 1
+        connection = request.protocol
+        self.busy.add(connection)
         ours = _Request()
         outcome = "cancelled"
         status = 0
@@ -263,6 +267,7 @@
             return response
         finally:
             self.in_flight -= 1
+            self.busy.discard(connection)
             self._note_ended(ours, outcome, status)
 
     def _note_ended(self, ours: _Request, outcome: str, status: int) -> None:
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -240,8 +240,9 @@
         self.prober.stopped = True
         for site in list(self._entry_runner.sites):
             await site.stop()
-        self._entry_runner.server.pre_shutdown()
+        idle: set[t.Any] = set()
         while time.monotonic() < began_at + END_SHARE * grace_s:
+            idle = self._close_idle_connections(idle)
             if self.gateway.in_flight == 0 and not self._entry_runner.server.connections:
                 break
             await asyncio.sleep(STOP_CHECK_S)
@@ -251,6 +252,20 @@
             time.monotonic() - began_at,
         )
 
+    def _close_idle_connections(self, idle_before: set[t.Any]) -> set[t.Any]:
+        """Close callers' connections that hold no request, and return those that hold none now.
+
+        Those of a request in hand close with its answer. aiohttp's own call for this ends their
+        tasks but leaves them open, and a request that came later would never be answered.
+
+        :param idle_before: what the call before returned; younger ones may be about to answer.
+        """
+        idle = set(self._entry_runner.server.connections) - self.gateway.busy
+        for connection in idle & idle_before:
+            if connection.transport is not None:
+                connection.transport.close()
+        return idle
+
     async def on_stop(self) -> None:
         """Close all listeners and connections."""
         self.mesh.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,9 +1,11 @@
 """Real nodes on the stand-ins of the users' platform: routing, faults of servers, the store."""
 
 import asyncio
+import contextlib
 import time
 
 import aiohttp
+import msgspec
 import pytest
 
 from standins.instance import InstanceBehaviour
@@ -439,3 +441,31 @@
         assert [deployment.count_runs(f"o-{number}") for number in range(4)] == [1] * 4
 
     play(scenario)
+
+
+def test_no_connection_outlives_the_end_of_listening():
+    """Connections that are accepted at the very end, and send nothing yet, are closed as well."""
+
+    async def scenario(deployment):
+        node = await start(deployment)
+        host, _, port = node.settings.listeners.entry.rpartition(":")
+        opened = []
+
+        async def open_until_refused():
+            with contextlib.suppress(OSError):
+                while True:
+                    opened.append(await asyncio.open_connection(host, int(port)))
+
+        openers = [asyncio.ensure_future(open_until_refused()) for _ in range(3)]
+        await asyncio.sleep(0)
+        node.settings = msgspec.structs.replace(node.settings, grace_s=1.0)
+        stopping = asyncio.ensure_future(node.stop_gracefully())
+        await asyncio.gather(*openers)
+        assert opened
+        async with asyncio.timeout(0.4):
+            for reader, writer in opened:
+                assert await reader.read() == b""
+                writer.close()
+        await stopping
+
+    play(scenario)
