Open no socket after the close of a node's links; take test ports on addresses of their own

A second finding under load: a port that the kernel had named was taken by an outgoing connection before the node bound it.

Ruled out: requests that are never answered; the hang was not bounded by the client's timeout.

Before: both new tests of tests/test_mesh.py failed; one of two loaded runs failed on the port.

--- a/src/jasmineseam/peers/links.py
+++ b/src/jasmineseam/peers/links.py
@@ -195,6 +195,11 @@
         self._context = context
         self._links: dict[str, PeerLink] = {}
 
+    @property
+    def addresses(self) -> list[str]:
+        """The addresses that links are open to."""
+        return list(self._links)
+
     def get(self, address: str) -> PeerLink:
         """Return the link to an address."""
         link = self._links.get(address)
--- a/src/jasmineseam/peers/notices.py
+++ b/src/jasmineseam/peers/notices.py
@@ -92,10 +92,13 @@
     def __init__(self, *, context: zmq.Context) -> None:
         self._context = zmq.Context.shadow(context.underlying)
         self._sockets: dict[str, zmq.Socket] = {}
+        self._closed = False
         self.dropped = 0
 
     def send(self, addresses: t.Iterable[str], message: Message) -> None:
         """Send a message to several peers; those that can't take it now don't get it."""
+        if self._closed:
+            return
         data = encode_message(message)
         for address in addresses:
             try:
@@ -110,7 +113,8 @@
                 self._sockets.pop(address).close()
 
     def close(self) -> None:
-        """Close all sockets."""
+        """Close all sockets, and open no more."""
+        self._closed = True
         self.keep(set())
 
     def _get_socket(self, address: str) -> zmq.Socket:
--- a/src/jasmineseam/programs/mesh.py
+++ b/src/jasmineseam/programs/mesh.py
@@ -59,6 +59,7 @@
         self._tasks: dict[str, asyncio.Task] = {}
         self._wanted: dict[str, asyncio.Event] = {}
         self._met_at: dict[str, float] = {}
+        self._closed = False
         # what this node holds, set by its owner
         self.table: RoutingTable | None = None
         self.get_servers_age_s: t.Callable[[], float] = lambda: float("inf")
@@ -66,7 +67,7 @@
 
     def meet(self, address: str) -> None:
         """Begin to talk with the node at an address."""
-        if address == self._own_address:
+        if address == self._own_address or self._closed:
             return
         self._met_at[address] = time.monotonic()
         if address in self._tasks:
@@ -132,7 +133,8 @@
         self._notices.keep({vm.notice_address for vm in self.vms.list_known()})
 
     def close(self) -> None:
-        """Stop all talk."""
+        """Stop all talk, and begin none."""
+        self._closed = True
         for task in self._tasks.values():
             task.cancel()
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import socket
 import time
 
@@ -24,11 +25,21 @@
 HOST = "127.0.0.1"
 OPTIONS = NodeOptions(metrics=MetricSettings(exporter="none"), fatal_invariants=True)
 _ids = itertools.count(1)
+_hosts = itertools.count()
 
 
-def find_ports(count):
-    """Return ports that the kernel has free."""
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
+def find_host():
+    """Return a loopback address that no other process uses, for its ports stay free between.
+
+    Outgoing connections take their ports from the usual loopback address.
+    """
+    pid = os.getpid()
+    return f"127.{16 + pid % 200}.{pid // 200 % 250}.{next(_hosts) % 250 + 1}"
+
+
+def find_ports(host, count):
+    """Return ports that the kernel has free at an address."""
+    sockets = [socket.create_server((host, 0)) for _ in range(count)]
     ports = [one.getsockname()[1] for one in sockets]
     for one in sockets:
         one.close()
@@ -102,7 +113,9 @@
         self._stack.push_async_callback(runner.cleanup)
         await web.TCPSite(runner, HOST, 0).start()
         self.store_address = f"{HOST}:{runner.addresses[0][1]}"
-        self.session = aiohttp.ClientSession()
+        # a request that is never answered fails its test
+        timeout = aiohttp.ClientTimeout(total=10.0)
+        self.session = aiohttp.ClientSession(timeout=timeout)
         self._stack.push_async_callback(self.session.close)
         return self
 
@@ -132,15 +145,16 @@
 
     def build_settings(self, name, domain="d1", **more):
         """Return the settings of a node."""
-        entry, readiness, locator, peers, notices = find_ports(5)
+        host = find_host()
+        entry, readiness, locator, peers, notices = find_ports(host, 5)
         fields = {
-            "vm": NodeVm(id=name, address=HOST, failure_domain=domain),
+            "vm": NodeVm(id=name, address=host, failure_domain=domain),
             "listeners": NodeListeners(
-                entry=f"{HOST}:{entry}",
-                readiness=f"{HOST}:{readiness}",
-                locator=f"{HOST}:{locator}",
-                peers=f"{HOST}:{peers}",
-                notices=f"{HOST}:{notices}",
+                entry=f"{host}:{entry}",
+                readiness=f"{host}:{readiness}",
+                locator=f"{host}:{locator}",
+                peers=f"{host}:{peers}",
+                notices=f"{host}:{notices}",
             ),
             "store_address": self.store_address,
             "seed_peers": [node.settings.listeners.peers for node in self.nodes][:3],
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,10 +1,18 @@
 """Links between nodes: who is named, and for how long after falling silent."""
 
+import asyncio
+import threading
+
 import pytest
+import zmq.asyncio
 
 from jasmineseam.membership.vms import EntryVms
 from jasmineseam.membership.vms import VmInfo
+from jasmineseam.peers.links import PeerLinks
+from jasmineseam.peers.messages import Refused
+from jasmineseam.peers.notices import NoticeSender
 from jasmineseam.programs.mesh import HEARD_FOR_S
+from jasmineseam.programs.mesh import Mesh
 
 
 def make_info(vm_id, **more):
@@ -30,3 +38,36 @@
     vms = EntryVms(clock=clock, heard_for_s=HEARD_FOR_S)
     vms.hear(make_info("a", leaving=True))
     assert vms.list_live() == []
+
+
+def test_a_closed_sender_opens_no_socket_again():
+    """A socket opened after the close would keep its context from ever ending."""
+    context = zmq.asyncio.Context()
+    sender = NoticeSender(context=context)
+    sender.send(["127.0.0.1:9"], Refused(reason="busy"))
+    sender.close()
+    sender.send(["127.0.0.1:9"], Refused(reason="busy"))
+    ended = threading.Thread(target=context.term, daemon=True)
+    ended.start()
+    ended.join(5.0)
+    assert not ended.is_alive()
+
+
+def test_a_closed_mesh_meets_nobody():
+    async def scenario():
+        links = PeerLinks(context=zmq.asyncio.Context())
+        mesh = Mesh(
+            links=links,
+            notices=NoticeSender(context=zmq.asyncio.Context()),
+            own_address="127.0.0.1:1",
+            describe=lambda: make_info("own"),
+            on_table=lambda table, source: False,
+            on_listings=lambda listings, position, age_s: None,
+        )
+        mesh.close()
+        mesh.meet("127.0.0.1:9")
+        await asyncio.sleep(0)
+        assert not links.addresses
+        links.close()
+
+    asyncio.run(scenario())
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -11,8 +11,8 @@
 import aiohttp
 import pytest
 
-from tests.deployment import HOST
 from tests.deployment import Deployment
+from tests.deployment import find_host
 from tests.deployment import find_ports
 from tests.deployment import play
 from tests.deployment import wait_until
@@ -46,8 +46,9 @@
 class Process:
     """A node's process, its ports and its output."""
 
-    def __init__(self, process, ports):
+    def __init__(self, process, host, ports):
         self.process = process
+        self.host = host
         self.ports = ports
         self.lines = []
 
@@ -60,9 +61,10 @@
 
 
 async def start_process(deployment: Deployment, folder: pathlib.Path) -> Process:
-    ports = dict(zip(NAMES, find_ports(len(NAMES)), strict=True))
+    host = find_host()
+    ports = dict(zip(NAMES, find_ports(host, len(NAMES)), strict=True))
     settings = folder / "boot.toml"
-    settings.write_text(SETTINGS.format(host=HOST, store=deployment.store_address, **ports))
+    settings.write_text(SETTINGS.format(host=host, store=deployment.store_address, **ports))
     options = folder / "node.json"
     options.write_text(json.dumps({"metrics_port": ports["metrics"], "fatal_invariants": True}))
     process = await asyncio.create_subprocess_exec(
@@ -73,13 +75,13 @@
         stdout=asyncio.subprocess.PIPE,
         env={**os.environ, "JASMINESEAM_NODE_FILE": str(settings)},
     )
-    running = Process(process, ports)
+    running = Process(process, host, ports)
     running.reading = asyncio.ensure_future(running.read())
     return running
 
 
 async def wait_ready(deployment, running):
-    url = f"http://{HOST}:{running.ports['ready']}/api/readyz"
+    url = f"http://{running.host}:{running.ports['ready']}/api/readyz"
     async with asyncio.timeout(20.0):
         while True:
             try:
@@ -92,7 +94,7 @@
 
 
 async def fetch(deployment, running, path="/safe/1", request_id="q-1"):
-    url = f"http://{HOST}:{running.ports['entry']}{path}"
+    url = f"http://{running.host}:{running.ports['entry']}{path}"
     headers = {"Host": "fit.example", "Jasmineseam-Request-Id": request_id}
     async with deployment.session.get(url, headers=headers) as response:
         return response.status
@@ -117,7 +119,7 @@
             reloaded = "Settings reloaded."
             await wait_until(lambda: running.find(message=reloaded), "the right file is taken")
             assert await fetch(deployment, running, request_id="q-3") == 200
-            url = f"http://{HOST}:{running.ports['metrics']}/metrics"
+            url = f"http://{running.host}:{running.ports['metrics']}/metrics"
             async with deployment.session.get(url) as response:
                 page = await response.text()
             assert re.search(r'jasmineseam_requests_total{[^}]*outcome="answered"[^}]*} 2', page)
