--- a/src/jasmineseam/operations/output.py
+++ b/src/jasmineseam/operations/output.py
@@ -48,7 +48,7 @@
                 return
             except OSError:
                 # nobody reads any more, and there is nowhere left to say so
-                self.dropped += len(self._lines) + 1
+                self.dropped += len(self._lines) + self._rest.count(b"\n")
                 self._lines.clear()
                 self._rest = b""
                 return
--- /dev/null
+++ b/tests/test_output.py
@@ -0,0 +1,99 @@
+"""Log lines of a node: bounded, never blocking, failures before successes."""
+
+import json
+import os
+import types
+
+import pytest
+
+from jasmineseam.operations.journal import RequestJournal
+from jasmineseam.operations.output import MAX_BUFFERED_LINES
+from jasmineseam.operations.output import LineOutput
+from jasmineseam.requests.proxied import RequestHead
+
+
+@pytest.fixture
+def pipe():
+    """Return both ends of a pipe that does not block."""
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    yield reading, writing
+    os.close(reading)
+    os.close(writing)
+
+
+def test_lines_are_written_whole_and_in_order(pipe):
+    output = LineOutput(descriptor=pipe[1])
+    for number in range(100):
+        output.write(f"line {number}".encode())
+    output.flush()
+    assert os.read(pipe[0], 65_536).decode().splitlines() == [f"line {n}" for n in range(100)]
+
+
+def test_a_reader_that_does_not_read_blocks_nothing_and_gets_whole_lines_later(pipe):
+    output = LineOutput(descriptor=pipe[1])
+    line = b"x" * 999
+    for _ in range(MAX_BUFFERED_LINES + 50):
+        output.write(line)
+    assert output.dropped == 50
+    received = b""
+    for _ in range(200):
+        output.flush()
+        received += os.read(pipe[0], 65_536)
+        if received.count(b"\n") == MAX_BUFFERED_LINES:
+            break
+    assert set(received.splitlines()) == {line}
+    assert received.count(b"\n") == MAX_BUFFERED_LINES
+
+
+def test_lines_without_a_reader_are_counted():
+    reading, writing = os.pipe()
+    os.close(reading)
+    output = LineOutput(descriptor=writing)
+    output.write(b"a")
+    output.write(b"b")
+    output.flush()
+    output.write(b"c")
+    os.close(writing)
+    assert output.dropped >= 2
+
+
+def make_request(**more):
+    fields = {
+        "head": RequestHead(request_id="q", remaining_s=1.0),
+        "arrived_at": 0.0,
+        "target_at": 10.0,
+        "route": None,
+        "dispatcher": None,
+        "version": 1,
+        "trace": [],
+    }
+    return types.SimpleNamespace(**{**fields, **more})
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "written", "dropped"),
+    [
+        (["answered"] * 30, 5, 25),
+        (["not-run:overloaded"] * 30, 10, 20),
+        (["answered"] * 30 + ["unknown:timeout"] * 3, 8, 25),
+    ],
+)
+def test_usual_answers_leave_room_for_failures(outcomes, written, dropped):
+    lines = []
+    journal = RequestJournal(write=lines.append, lines_per_s=10)
+    for outcome in outcomes:
+        journal.note_request(make_request(), outcome, 200, 1.0)
+    assert (len(lines), journal.dropped_total) == (written, dropped)
+    journal.note_request(make_request(), "answered", 200, 2.5)
+    assert json.loads(lines[-1]).get("dropped", 0) == dropped - sum(
+        json.loads(line).get("dropped", 0) for line in lines[:-1]
+    )
+
+
+def test_a_late_answer_counts_as_a_failure_to_be_explained():
+    lines = []
+    journal = RequestJournal(write=lines.append, lines_per_s=2)
+    for _ in range(3):
+        journal.note_request(make_request(target_at=0.5), "answered", 200, 1.0)
+    assert len(lines) == 2
