Look at the newest routing table beside the waiting calls; give up repeats that have no time

The store had told none of the six waiting calls, and nothing else asked for the table. The node that reads the servers for all now also reads the newest table, at most every 0.7 s. Second, the incident shows a request that was sent to a second server 1 ms after its client's deadline: another attempt now needs half of the usual time.

Ruled out: a wrong offset (the same call delivered the record at its end), silent connections (used again without an error), shorter waiting calls from every node (four calls a second for the fleet instead of one).

--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -52,6 +52,8 @@
 HEDGE_OVERDUE = 1.6
 CONNECT_EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
+# with less than this part of a request's usual time left, another attempt is of no use
+ATTEMPT_MIN_SHARE = 0.5
 # part of the time left that is kept for the answer's way back, in seconds
 ANSWER_MARGIN_S = 0.005
 SERVER_ERROR = 500
@@ -331,7 +333,7 @@
         unsent = 0
         last: _Answer | AttemptError | None = None
         while ours.attempts < route.max_attempts and unsent < MAX_UNSENT:
-            if ours.attempts > 0 and not budget.take():
+            if ours.attempts > 0 and not (self._has_time(ours) and budget.take()):
                 break
             try:
                 load = await ours.dispatcher.place(self._describe_want(ours))
@@ -356,6 +358,10 @@
             last = answer
         return self._give_up(ours, last)
 
+    def _has_time(self, ours: _Request) -> bool:
+        """Tell whether another attempt could still end before the deadline."""
+        return ours.deadline_at - time.monotonic() > ATTEMPT_MIN_SHARE * ours.usual_s
+
     def _give_up(self, ours: _Request, last: _Answer | AttemptError | None) -> _Answer:
         if isinstance(last, _Answer):
             return last
--- a/src/jasmineseam/programs/store_follower.py
+++ b/src/jasmineseam/programs/store_follower.py
@@ -2,7 +2,9 @@
 
 Each node waits for a new routing table by itself and tells its peers. The list of servers changes
 with every heartbeat, so one node at a time reads it for all: each reads when the list has grown
-older than its rank allows, and the first one to read keeps the others from it.
+older than its rank allows, and the first one to read keeps the others from it. The same node looks
+at the newest routing table now and then, since a store in trouble may leave a waiting call
+unanswered until its time is over.
 """
 
 from __future__ import annotations
@@ -27,6 +29,8 @@
 
 TABLE_WAIT_S = 8.0
 LIST_AGE_S = 0.5
+# with the list's age this bounds how late a table is found that no waiting call was told of
+TABLE_CHECK_S = 0.7
 RANK_STEP_S = 0.12
 CHECK_PERIOD_S = 0.05
 FIRST_BACKOFF_S = 0.2
@@ -137,6 +141,7 @@
         self._get_rank = get_rank
         self._meet = meet
         self._record = record
+        self._table_checked_at = float("-inf")
 
     async def follow_table(self) -> None:
         """Follow the routing table until cancelled."""
@@ -163,8 +168,7 @@
                 continue
             self._note_success("routing table", backoff)
             position = read.position
-            if read.table is not None and self._on_table(read.table, "store"):
-                self._notify(TableNotice(table=read.table))
+            self._take_table(read)
             if read.table is None and position == 0:
                 # nothing was ever written, and a wait at the beginning may be refused
                 await asyncio.sleep(FIRST_BACKOFF_S)
@@ -180,8 +184,11 @@
                 continue
             try:
                 await self._read_servers()
+                await self._check_table()
             except RecordsTrimmedError:
                 self._registry.position = -1
+            except RecordInvalidError as error:
+                _logger.error("Routing table ignored: {}", error)
             except PlatformError as error:
                 self._note_failure("servers", error, backoff)
                 await asyncio.sleep(backoff.fail())
@@ -222,6 +229,18 @@
         notice = ServersNotice(begin=begin, end=end, age_s=age_s, changes=changes)
         self._notify(notice)
 
+    async def _check_table(self) -> None:
+        now = time.monotonic()
+        if now - self._table_checked_at < TABLE_CHECK_S:
+            return
+        read = await self._store.read_table()
+        self._table_checked_at = now
+        self._take_table(read)
+
+    def _take_table(self, read: TableRead) -> None:
+        if read.table is not None and self._on_table(read.table, "store"):
+            self._notify(TableNotice(table=read.table))
+
     def take_notice(self, notice: ServersNotice) -> None:
         """Take the changes that a peer has read, unless some before them are missing."""
         position = self._registry.position
--- a/standins/store.py
+++ b/standins/store.py
@@ -20,6 +20,7 @@
     :param down: how calls fail: ``busy`` (503), ``reset`` or ``silent``; empty if they do not.
     :param turned_away: names of the callers that fail so; empty for all of them.
     :param delay_s: extra time of each answer.
+    :param deaf: waiting calls are not told of new records, and end with their time.
     :param lost_writes: how many of the next writes are done but not answered.
     :param late_write_s: how much later those are done, in seconds.
     """
@@ -27,6 +28,7 @@
     down: str = ""
     turned_away: list[str] = []
     delay_s: float = 0.0
+    deaf: bool = False
     lost_writes: int = 0
     late_write_s: float = 0.0
 
@@ -60,6 +62,8 @@
         self._topics: dict[str, _Topic] = {}
         self.behaviour = StoreBehaviour()
         self.calls: list[str] = []
+        # calls that wait for a record now
+        self.waiting = 0
 
     def put(self, topic: str, key: str, value: t.Any) -> int:
         """Write a record as the operator and the servers do.
@@ -156,11 +160,15 @@
         offset = int(request.query["from"])
         wait_s = int(request.query.get("wait-ms", "0")) / 1000
         if offset >= len(topic.records) and wait_s and offset >= topic.first:
+            self.waiting += 1
             try:
                 async with asyncio.timeout(wait_s):
-                    await topic.changed.wait()
+                    while len(topic.records) <= offset or self.behaviour.deaf:
+                        await topic.changed.wait()
             except TimeoutError:
                 pass
+            finally:
+                self.waiting -= 1
         if offset < topic.first:
             return web.json_response({"first": topic.first}, status=410)
         parts = [_BOUNDS.pack(len(topic.records), topic.first)]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -469,3 +469,28 @@
         await stopping
 
     play(scenario)
+
+
+def test_a_configuration_is_found_though_the_store_leaves_waiting_calls_alone():
+    async def scenario(deployment):
+        node = await start(deployment)
+        await wait_until(lambda: deployment.store.waiting == 1, "the node waits for a change")
+        deployment.store.behaviour.deaf = True
+        deployment.configure(version=5)
+        await wait_until(lambda: node.gateway.table.version == 5, "version 5 in force", 1.9)
+
+    play(scenario)
+
+
+def test_a_request_without_time_for_another_attempt_is_given_up_at_once():
+    async def scenario(deployment):
+        node = await start(deployment)
+        set_all(deployment, work_s=0.2)
+        for _ in range(30):
+            await deployment.ask(node, "/safe/1")
+        set_all(deployment, work_s=0.2, fail=500)
+        status, _, _ = await deployment.ask(node, "/safe/1", request_id="n-1", deadline_ms=260)
+        assert status == 500
+        assert deployment.count_runs("n-1") == 1
+
+    play(scenario)
