Close an idle caller's connection only when no request can have just arrived on it

Idle connections now have their task ended first, which aiohttp does only if no request has arrived, and are closed five turns later.

Ruled out: the grace period, of which 3 s were left.

--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -56,6 +56,8 @@
 BACKLOG = 1024
 DURATION_BOUNDS_S = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
 STOP_CHECK_S = 0.02
+# checks, each a turn of the loop or more, for which a connection must hold no request
+IDLE_CHECKS = 5
 # parts of the grace period: callers are told of the stop, new connections are refused, the end
 LISTEN_SHARE = 0.45
 END_SHARE = 0.94
@@ -240,7 +242,7 @@
         self.prober.stopped = True
         for site in list(self._entry_runner.sites):
             await site.stop()
-        idle: set[t.Any] = set()
+        idle: dict[t.Any, int] = {}
         while time.monotonic() < began_at + END_SHARE * grace_s:
             idle = self._close_idle_connections(idle)
             if self.gateway.in_flight == 0 and not self._entry_runner.server.connections:
@@ -252,17 +254,24 @@
             time.monotonic() - began_at,
         )
 
-    def _close_idle_connections(self, idle_before: set[t.Any]) -> set[t.Any]:
-        """Close callers' connections that hold no request, and return those that hold none now.
+    def _close_idle_connections(self, idle_before: dict[t.Any, int]) -> dict[t.Any, int]:
+        """Close callers' connections that hold no request; those in use close with their answer.
 
-        Those of a request in hand close with its answer. aiohttp's own call for this ends their
-        tasks but leaves them open, and a request that came later would never be answered.
+        aiohttp's own call ends the task of an idle connection, unless a request has just arrived,
+        but leaves the connection open, and a request that came later would never be answered.
+        So the transport is closed a few checks after that, when a request that had just arrived
+        has been taken up.
 
-        :param idle_before: what the call before returned; younger ones may be about to answer.
+        :param idle_before: what the call before returned.
+        :returns: for how many checks each connection has held no request.
         """
-        idle = set(self._entry_runner.server.connections) - self.gateway.busy
-        for connection in idle & idle_before:
-            if connection.transport is not None:
+        idle = {}
+        for connection in list(self._entry_runner.server.connections):
+            if connection in self.gateway.busy:
+                continue
+            connection.close()
+            idle[connection] = idle_before.get(connection, 0) + 1
+            if idle[connection] > IDLE_CHECKS and connection.transport is not None:
                 connection.transport.close()
         return idle
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -494,3 +494,25 @@
         assert deployment.count_runs("n-1") == 1
 
     play(scenario)
+
+
+def test_a_request_that_arrives_as_its_connection_is_closed_is_answered():
+    """Its bytes are in the node, but its handler has not begun, when idle ones are closed."""
+
+    async def scenario(deployment):
+        node = await start(deployment)
+        host, _, port = node.settings.listeners.entry.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        server = node._entry_runner.server
+        await wait_until(lambda: server.connections, "the connection is accepted")
+        (connection,) = server.connections
+        idle = dict.fromkeys(server.connections, 1)
+        head = "GET /safe/1 HTTP/1.1\r\nHost: fit.example\r\nJasmineseam-Request-Id: q-1\r\n\r\n"
+        connection.data_received(head.encode())
+        node._close_idle_connections(idle)
+        async with asyncio.timeout(5.0):
+            answer = await reader.readuntil(b"\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 200")
+        writer.close()
+
+    play(scenario)
