Remove fields and functions that nothing reads

SplitCounter.forget, ServerLoad.known_at, Node._table_ready and NodeSettings.first_start were left from earlier shapes of these classes. No behaviour changes; the check of first_start goes with it.

--- a/src/jasmineseam/operations/node_settings.py
+++ b/src/jasmineseam/operations/node_settings.py
@@ -74,7 +74,6 @@
     :param probes_per_s: the most probes a second that one server may get from all nodes.
     :param grace_s: seconds between a request to stop and the kill that follows.
     :param longest_lifetime_s: the longest that a caller keeps a locator's answer, in seconds.
-    :param first_start: whether the whole system starts for the first time.
     """
 
     vm: NodeVm
@@ -85,7 +84,6 @@
     probes_per_s: float
     grace_s: float
     longest_lifetime_s: float
-    first_start: bool = False
 
 
 class ProbeOptions(msgspec.Struct, kw_only=True, forbid_unknown_fields=True, frozen=True):
--- a/src/jasmineseam/platform/settings.py
+++ b/src/jasmineseam/platform/settings.py
@@ -22,11 +22,10 @@
 _UNITS_S = {"ms": 0.001, "s": 1.0}
 
 
-class _Self(msgspec.Struct, rename={"name": "node-name", "first_start": "bootstrap"}):
+class _Self(msgspec.Struct, rename={"name": "node-name"}):
     name: str
     ip: str
     zone: str
-    first_start: bool = False
 
 
 class _Listen(msgspec.Struct):
@@ -145,5 +144,4 @@
         probes_per_s=bounds.probes_per_s,
         grace_s=parse_duration(bounds.grace),
         longest_lifetime_s=parse_duration(bounds.ttl_max),
-        first_start=file.own.first_start,
     )
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -118,7 +118,6 @@
         self._output = output
         self._reload_settings = reload_settings
         self._leaving = False
-        self._table_ready = asyncio.Event()
         self._runners: list[web.ServerRunner] = []
         self._entry_runner: web.ServerRunner | None = None
         self._chooser = random.Random()
--- a/src/jasmineseam/routing/load.py
+++ b/src/jasmineseam/routing/load.py
@@ -31,7 +31,6 @@
         "ejected_until",
         "ejections",
         "failure_domain",
-        "known_at",
         "probed_at",
         "report",
         "reported_at",
@@ -49,7 +48,6 @@
         self.address = address
         self.failure_domain = failure_domain
         self.slots = slots
-        self.known_at = now
         self.started_ms = 0
         self.warm_at = now
         # start times of this node's own requests, oldest first
--- a/src/jasmineseam/routing/routes.py
+++ b/src/jasmineseam/routing/routes.py
@@ -137,9 +137,3 @@
         chosen = max(services, key=lambda part: held[part.service] if part.weight else -1e9)
         held[chosen.service] -= total
         return chosen.service
-
-    def forget(self, names: set[str]) -> None:
-        """Start anew for the routes that are not among *names*, or that have changed."""
-        for name in list(self._credits):
-            if name not in names:
-                del self._credits[name]
