--- a/src/jasmineseam/operations/daemon.py
+++ b/src/jasmineseam/operations/daemon.py
@@ -11,7 +11,6 @@
 import time
 import typing as t
 
-import defopt
 import logbook
 import mode
 import msgspec
@@ -205,4 +204,7 @@
 
 def run_command(command: t.Callable) -> None:
     """Run a program's command line."""
+    # not needed by programs that are started without one, and slow to import
+    import defopt
+
     defopt.run(command, cli_options="has_default", short={})
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -70,7 +70,6 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         str(ROOT / "deploy" / "node.py"),
-        "--options-file",
         str(options),
         stdout=asyncio.subprocess.PIPE,
         env={**os.environ, "JASMINESEAM_NODE_FILE": str(settings)},
@@ -160,3 +159,15 @@
         assert str(settings).encode() in error
 
     asyncio.run(scenario())
+
+
+def test_the_start_of_a_node_loads_no_command_line_parser():
+    async def scenario():
+        code = "import sys, jasmineseam.platform.program; print('defopt' in sys.modules)"
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", code, stdout=asyncio.subprocess.PIPE
+        )
+        output, _ = await process.communicate()
+        assert output == b"False\n"
+
+    asyncio.run(scenario())
