Let an answer end the growth of the pauses after failed connections

Cause: ServerLoad.ejections only grew, so a server that had once failed to take three connections was left alone for 4 s after each later failure, for as long as the process lived. Found by reading. The pause moves to ServerLoad, beside the other things learnt from attempts; routing/ejection.py stays with Backend, whose trials and ramps a node has no use for, since it knows each server's load.

Test: test_an_answer_ends_the_growth_of_the_pauses_after_failed_connections fails before.

--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -51,8 +51,6 @@
 HEDGE_SLOWNESS = 1.8
 # nor is an attempt that has taken this many times the usual
 HEDGE_OVERDUE = 1.6
-CONNECT_EJECTION_S = 0.5
-LONGEST_EJECTION_S = 4.0
 # with less than this part of a request's usual time left, another attempt is of no use
 ATTEMPT_MIN_SHARE = 0.5
 # part of the time left that is kept for the answer's way back, in seconds
@@ -520,9 +518,7 @@
             return
         load.note_outcome(True, now)
         if error.reason in ("connect", "misdirected"):
-            pause_s = min(CONNECT_EJECTION_S * 2**load.ejections, LONGEST_EJECTION_S)
-            load.ejections += 1
-            load.ejected_until = now + pause_s
+            load.eject(now)
 
     def _get_budget(self, service: str) -> WindowBudget:
         budget = self._budgets.get(service)
--- a/src/jasmineseam/routing/load.py
+++ b/src/jasmineseam/routing/load.py
@@ -10,6 +10,9 @@
 FAILURE_GAIN = 0.25
 # a server's failures weigh half as much after this time, in seconds
 FAILURE_HALF_LIFE_S = 4.0
+# a server that takes no connection is left alone for so long, doubled with each time in a row
+FIRST_EJECTION_S = 0.5
+LONGEST_EJECTION_S = 4.0
 
 
 class ServerLoad:
@@ -23,13 +26,13 @@
     """
 
     __slots__ = (
+        "_ejections",
         "_failure_rate",
         "_failure_rate_at",
         "_others",
         "_token",
         "address",
         "ejected_until",
-        "ejections",
         "failure_domain",
         "probed_at",
         "report",
@@ -60,7 +63,8 @@
         self._failure_rate = 0.0
         self._failure_rate_at = now
         self.ejected_until = 0.0
-        self.ejections = 0
+        # since the last answer
+        self._ejections = 0
 
     def begin(self, now: float) -> int:
         """Note a request sent; returns the token to end it with."""
@@ -110,6 +114,14 @@
         rate = self.get_failure_rate(now)
         self._failure_rate = rate + FAILURE_GAIN * (float(failed) - rate)
         self._failure_rate_at = now
+        if not failed:
+            self._ejections = 0
+
+    def eject(self, now: float) -> None:
+        """Leave the server alone for a while, longer each time until it answers."""
+        pause_s = min(FIRST_EJECTION_S * 2**self._ejections, LONGEST_EJECTION_S)
+        self._ejections += 1
+        self.ejected_until = now + pause_s
 
     def get_failure_rate(self, now: float) -> float:
         """Return the share of recent attempts that failed; it fades with time."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -81,6 +81,18 @@
     assert estimate(load, 60.0, 1.0, 0.1, "d1").factor < 1.2
 
 
+def test_an_answer_ends_the_growth_of_the_pauses_after_failed_connections():
+    load = make_load("a")
+    pauses = []
+    for _ in range(5):
+        load.eject(0.0)
+        pauses.append(load.ejected_until)
+    assert pauses == [0.5, 1.0, 2.0, 4.0, 4.0]
+    load.note_outcome(False, 10.0)
+    load.eject(20.0)
+    assert load.ejected_until == 20.5
+
+
 def test_a_request_waits_for_a_fast_host_while_it_can_still_be_in_time():
     async def scenario():
         loop = asyncio.get_running_loop()
