--- a/src/jasmineseam/operations/journal.py
+++ b/src/jasmineseam/operations/journal.py
@@ -19,6 +19,9 @@
     """One request's line.
 
     :param ms: how long the request took, in milliseconds.
+    :param target_ms: time in which it should have been answered, less than 0 if it came too late.
+    :param deadline_ms: time in which it had to be answered.
+    :param tried_before_ms: for how long its caller had been trying already, as far as known.
     :param tried: servers in their order, each with result, duration, slowness and its age.
     :param dropped: lines left out since the last one.
     """
@@ -30,6 +33,9 @@
     route: str = ""
     table: int = -1
     service: str = ""
+    target_ms: int | None = None
+    deadline_ms: int | None = None
+    tried_before_ms: int = 0
     tried: list[str] = []
     dropped: int = 0
 
@@ -49,37 +55,24 @@
         self._dropped = 0
         self.dropped_total = 0
 
-    def note_request(self, request: t.Any, outcome: str, status: int, now: float) -> None:
-        """Write the line of a request that has ended.
+    def admit(self, *, usual: bool, now: float) -> bool:
+        """Tell whether a line may be written now; if not, it counts as dropped.
 
-        :param request: as the gateway holds it.
+        :param usual: whether it is about a request that was answered in time.
         """
-        usual = outcome == "answered" and now <= getattr(request, "target_at", now)
-        if not self._take(usual, now):
-            self._dropped += 1
-            self.dropped_total += 1
-            return
-        route = request.route
-        line = RequestLine(
-            id=request.head.request_id,
-            outcome=outcome,
-            status=status,
-            ms=round((now - request.arrived_at) * 1000),
-            route="" if route is None else route.name,
-            table=request.version,
-            service="" if request.dispatcher is None else request.dispatcher.service,
-            tried=request.trace,
-            dropped=self._dropped,
-        )
-        self._dropped = 0
-        self._write(msgspec.json.encode(line))
-
-    def _take(self, usual: bool, now: float) -> bool:
         if now - self._window_at >= WINDOW_S:
             self._window_at = now
             self._used = 0
         limit = self._lines_per_s * (USUAL_SHARE if usual else 1.0)
         if self._used >= limit:
+            self._dropped += 1
+            self.dropped_total += 1
             return False
         self._used += 1
         return True
+
+    def write(self, line: RequestLine) -> None:
+        """Write a line that was admitted."""
+        line.dropped = self._dropped
+        self._dropped = 0
+        self._write(msgspec.json.encode(line))
--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -8,6 +8,7 @@
 import time
 import typing as t
 
+import logbook
 from aiohttp import web
 from multidict import CIMultiDict
 
@@ -18,6 +19,7 @@
 from ..exceptions import UnknownOutcomeError
 from ..membership.registry import Registry
 from ..operations.journal import RequestJournal
+from ..operations.journal import RequestLine
 from ..operations.node_settings import RetryLimits
 from ..requests.proxied import RequestHead
 from ..requests.proxied import ResponseHead
@@ -37,6 +39,8 @@
 from .mesh import LoadNews
 
 STARTING_RETRY_AFTER_S = 0.5
+# time for a caller to reach another node after a fault of this one, in seconds
+FAULT_RETRY_AFTER_S = 0.1
 DEFAULT_DEADLINE_S = 30.0
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # connections that could not be opened for one request before it is given up
@@ -56,6 +60,8 @@
 # part of the time left that is kept for the answer's way back, in seconds
 ANSWER_MARGIN_S = 0.005
 SERVER_ERROR = 500
+ANSWERED = "answered"
+_logger = logbook.Logger("gateway")
 _HOP_HEADERS = frozenset(
     {
         "connection",
@@ -120,6 +126,7 @@
 
     def __init__(self) -> None:
         self.arrived_at = time.monotonic()
+        self.target_at = self.deadline_at = self.arrived_at
         self.route: Route | None = None
         self.dispatcher: Dispatcher | None = None
         self.head = RequestHead(request_id="", remaining_s=None)
@@ -261,13 +268,18 @@
                 await self._receive(request, ours)
                 answer = await self._run(ours)
                 response = self._build_response(request, answer)
-                outcome = "answered"
+                outcome = ANSWERED
             except NotRunError as error:
                 response = self._build_refusal(error)
                 outcome = f"not-run:{error.reason}"
             except UnknownOutcomeError as error:
                 response = self._build_failure(error)
                 outcome = f"unknown:{error.reason}"
+            except Exception:
+                # a fault of the program: the caller is still told truly whether it may have run
+                _logger.exception("Request {} met a fault of the node.", ours.head.request_id)
+                response = self._build_after_fault(ours)
+                outcome = "fault"
             status = response.status
             if self.closing:
                 response.force_close()
@@ -282,7 +294,9 @@
         self.outcomes[outcome] += 1
         kind = outcome.partition(":")[0]
         self.record_duration(now - ours.arrived_at, {"outcome": kind})
-        self._journal.note_request(ours, outcome, status, now)
+        usual = outcome == ANSWERED and now <= ours.target_at
+        if self._journal.admit(usual=usual, now=now):
+            self._journal.write(_describe_request(ours, outcome, status, now))
 
     def count_queued(self) -> int:
         """Return how many requests wait for a server."""
@@ -576,6 +590,30 @@
     def _build_failure(self, error: UnknownOutcomeError) -> web.Response:
         return web.Response(status=error.status, text=f"{error.reason}\n")
 
+    def _build_after_fault(self, ours: _Request) -> web.Response:
+        if ours.sent:
+            return self._build_failure(UnknownOutcomeError("fault", 502))
+        return self._build_refusal(NotRunError("fault", 503, FAULT_RETRY_AFTER_S))
+
 
 def _is_good(answer: _Answer) -> bool:
     return answer.status < SERVER_ERROR
+
+
+def _describe_request(ours: _Request, outcome: str, status: int, now: float) -> RequestLine:
+    line = RequestLine(
+        id=ours.head.request_id,
+        outcome=outcome,
+        status=status,
+        ms=round((now - ours.arrived_at) * 1000),
+        table=ours.version,
+        tried=ours.trace,
+    )
+    if ours.route is not None:
+        line.route = ours.route.name
+        line.target_ms = round((ours.target_at - ours.arrived_at) * 1000)
+        line.deadline_ms = round((ours.deadline_at - ours.arrived_at) * 1000)
+        line.tried_before_ms = round(ours.tried_s * 1000)
+    if ours.dispatcher is not None:
+        line.service = ours.dispatcher.service
+    return line
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import json
 import os
 import socket
 import time
@@ -79,6 +80,18 @@
     }
 
 
+class KeptOutput(LineOutput):
+    """Writes a node's lines, and keeps them decoded."""
+
+    def __init__(self):
+        super().__init__(descriptor=2)
+        self.lines = []
+
+    def write(self, line):
+        self.lines.append(json.loads(line))
+        super().write(line)
+
+
 ROUTES = [
     build_route("/safe/"),
     build_route("/order/", kind="unsafe"),
@@ -168,7 +181,9 @@
     async def add_node(self, name, *, ready=True, options=OPTIONS, **more):
         """Start a node, and wait until it is ready."""
         settings = self.build_settings(name, **more)
-        node = make_node(settings, options, LineOutput(descriptor=2))
+        output = KeptOutput()
+        node = make_node(settings, options, output)
+        node.lines = output.lines
         await node.start()
         self.nodes.append(node)
         if ready:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,6 +9,7 @@
 import pytest
 
 from standins.instance import InstanceBehaviour
+from tests.deployment import OPTIONS
 from tests.deployment import ROUTES
 from tests.deployment import build_route
 from tests.deployment import play
@@ -517,3 +518,40 @@
         writer.close()
 
     play(scenario)
+
+
+def find_lines(node, **wanted):
+    return [line for line in node.lines if wanted.items() <= line.items()]
+
+
+def test_a_late_answer_counts_as_a_failure_to_be_explained():
+    async def scenario(deployment):
+        deployment.configure(routes=[build_route("/late/", **{"target-latency": "1ms"})])
+        options = msgspec.structs.replace(OPTIONS, log_lines_per_s=2)
+        node = await start(deployment, configure=False, options=options)
+        await asyncio.gather(*(deployment.ask(node, "/late/") for _ in range(3)))
+        assert len(find_lines(node, outcome="answered")) == 2
+        assert all(line["ms"] >= line["target_ms"] for line in find_lines(node, route="r/late/"))
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(("sent", "status"), [(False, 503), (True, 502)])
+def test_a_fault_of_the_node_is_logged_and_answered_truly(sent, status):
+    async def scenario(deployment):
+        node = await start(deployment)
+
+        def fail(*_args, **_more):
+            raise RuntimeError("a fault")
+
+        if sent:
+            node.gateway.dispatchers["fit"].note_latency = fail
+        else:
+            node.gateway.dispatchers["fit"].get_usual_s = fail
+        got, headers, _ = await deployment.ask(node, "/safe/1", request_id="q-1")
+        assert got == status
+        assert ("Retry-After" in headers) == (not sent)
+        (line,) = find_lines(node, id="q-1")
+        assert line["outcome"] == "fault"
+
+    play(scenario)
--- a/tests/test_output.py
+++ b/tests/test_output.py
@@ -2,14 +2,13 @@
 
 import json
 import os
-import types
 
 import pytest
 
 from jasmineseam.operations.journal import RequestJournal
+from jasmineseam.operations.journal import RequestLine
 from jasmineseam.operations.output import MAX_BUFFERED_LINES
 from jasmineseam.operations.output import LineOutput
-from jasmineseam.requests.proxied import RequestHead
 
 
 @pytest.fixture
@@ -58,42 +57,29 @@
     assert output.dropped >= 2
 
 
-def make_request(**more):
-    fields = {
-        "head": RequestHead(request_id="q", remaining_s=1.0),
-        "arrived_at": 0.0,
-        "target_at": 10.0,
-        "route": None,
-        "dispatcher": None,
-        "version": 1,
-        "trace": [],
-    }
-    return types.SimpleNamespace(**{**fields, **more})
+def note(journal, *, usual, now):
+    """Offer the journal a line as a node does."""
+    if journal.admit(usual=usual, now=now):
+        journal.write(
+            RequestLine(id="q", outcome="answered" if usual else "late", status=200, ms=1)
+        )
 
 
 @pytest.mark.parametrize(
-    ("outcomes", "written", "dropped"),
+    ("usuals", "written", "dropped"),
     [
-        (["answered"] * 30, 5, 25),
-        (["not-run:overloaded"] * 30, 10, 20),
-        (["answered"] * 30 + ["unknown:timeout"] * 3, 8, 25),
+        ([True] * 30, 5, 25),
+        ([False] * 30, 10, 20),
+        ([True] * 30 + [False] * 3, 8, 25),
     ],
 )
-def test_usual_answers_leave_room_for_failures(outcomes, written, dropped):
+def test_usual_answers_leave_room_for_failures(usuals, written, dropped):
     lines = []
     journal = RequestJournal(write=lines.append, lines_per_s=10)
-    for outcome in outcomes:
-        journal.note_request(make_request(), outcome, 200, 1.0)
+    for usual in usuals:
+        note(journal, usual=usual, now=1.0)
     assert (len(lines), journal.dropped_total) == (written, dropped)
-    journal.note_request(make_request(), "answered", 200, 2.5)
+    note(journal, usual=True, now=2.5)
     assert json.loads(lines[-1]).get("dropped", 0) == dropped - sum(
         json.loads(line).get("dropped", 0) for line in lines[:-1]
     )
-
-
-def test_a_late_answer_counts_as_a_failure_to_be_explained():
-    lines = []
-    journal = RequestJournal(write=lines.append, lines_per_s=2)
-    for _ in range(3):
-        journal.note_request(make_request(target_at=0.5), "answered", 200, 1.0)
-    assert len(lines) == 2
