Keep one copy of header stripping, document loading and response decoding

Headers for one connection stood in two lists; JSON with comments was loaded in two places, settings files read in three; each response's head was decoded twice, once to recognise it and once to use it; the reader of servers looked at the newest routing table also right after a waiting call had brought it.

requests/headers.py, documents.read_file and documents.parse_document now hold these; a connection's receive takes the function that decodes a head, and passes over what it does not decode. An answer's headers that its Connection header names are stripped too, as a request's were.

--- a/src/jasmineseam/documents.py
+++ b/src/jasmineseam/documents.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import pathlib
 import typing as t
 
+import jsonc
 import msgspec
 
 from .exceptions import Fault
+from .exceptions import SettingsError
 
 T = t.TypeVar("T", bound=msgspec.Struct)
 SHOWN_VALUE_CHARS = 60
@@ -41,6 +44,34 @@
     return msgspec.convert(value, kind)
 
 
+def read_file(path: pathlib.Path) -> str:
+    """Return the text of a settings file.
+
+    :raises SettingsError: if it can't be read.
+    """
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeError) as error:
+        raise SettingsError(str(path), [Fault("file", str(error), "a readable file")]) from error
+
+
+def parse_document(kind: type[T], text: str, source: str) -> T:
+    """Parse and check a document in JSON with comments.
+
+    :param source: where it is from, for errors.
+    :raises SettingsError: with every fault.
+    """
+    try:
+        value = jsonc.loads(text)
+    except (ValueError, RecursionError) as error:
+        fault = Fault("document", str(error), "JSON with comments")
+        raise SettingsError(source, [fault]) from error
+    faults = find_faults(kind, value)
+    if faults:
+        raise SettingsError(source, faults)
+    return convert_document(kind, value)
+
+
 def _find_struct_faults(kind: type, value: t.Any, path: str) -> list[Fault]:
     if not isinstance(value, dict):
         return [Fault(path or "document", _shorten(value), "an object")]
--- a/src/jasmineseam/operations/node_settings.py
+++ b/src/jasmineseam/operations/node_settings.py
@@ -9,13 +9,10 @@
 import pathlib
 import typing as t
 
-import jsonc
 import msgspec
 
-from ..documents import convert_document
-from ..documents import find_faults
-from ..exceptions import Fault
-from ..exceptions import SettingsError
+from ..documents import parse_document
+from ..documents import read_file
 from .settings import LogSettings
 from .settings import MetricSettings
 from .settings import PositiveCount
@@ -130,15 +127,7 @@
     >>> parse_options('{"lifetime_s": 2.5}  // seconds').lifetime_s
     2.5
     """
-    try:
-        value = jsonc.loads(text)
-    except (ValueError, RecursionError) as error:
-        fault = Fault("document", str(error), "JSON with comments")
-        raise SettingsError(source, [fault]) from error
-    faults = find_faults(NodeOptions, value)
-    if faults:
-        raise SettingsError(source, faults)
-    return convert_document(NodeOptions, value)
+    return parse_document(NodeOptions, text, source)
 
 
 def load_options(path: pathlib.Path) -> NodeOptions:
@@ -146,8 +135,4 @@
 
     :raises SettingsError: if it can't be read, or with every fault in it.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeError) as error:
-        raise SettingsError(str(path), [Fault("file", str(error), "a readable file")]) from error
-    return parse_options(text, str(path))
+    return parse_options(read_file(path), str(path))
--- a/src/jasmineseam/operations/settings.py
+++ b/src/jasmineseam/operations/settings.py
@@ -9,11 +9,10 @@
 import pathlib
 import typing as t
 
-import jsonc
 import msgspec
 
-from ..documents import convert_document
-from ..documents import find_faults
+from ..documents import parse_document
+from ..documents import read_file
 from ..exceptions import Fault
 from ..exceptions import SettingsError
 
@@ -147,15 +146,8 @@
 
     :raises SettingsError: with every fault.
     """
-    try:
-        value = jsonc.loads(text)
-    except (ValueError, RecursionError) as error:
-        fault = Fault("document", str(error), "JSON with comments")
-        raise SettingsError(source, [fault]) from error
-    faults = find_faults(Settings, value)
-    if not faults:
-        settings = convert_document(Settings, value)
-        faults = _find_conflicts(settings)
+    settings = parse_document(Settings, text, source)
+    faults = _find_conflicts(settings)
     if faults:
         raise SettingsError(source, faults)
     return settings
@@ -166,11 +158,7 @@
 
     :raises SettingsError: if it can't be read, or with every fault in it.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeError) as error:
-        raise SettingsError(str(path), [Fault("file", str(error), "a readable file")]) from error
-    return parse_settings(text, str(path))
+    return parse_settings(read_file(path), str(path))
 
 
 def _find_conflicts(settings: Settings) -> list[Fault]:
--- a/src/jasmineseam/platform/settings.py
+++ b/src/jasmineseam/platform/settings.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..documents import read_file
 from ..exceptions import Fault
 from ..exceptions import SettingsError
 from ..operations.node_settings import NodeListeners
@@ -114,12 +115,9 @@
     :raises SettingsError: if it can't be read or decoded.
     """
     path = environment.get(FILE_VARIABLE, "")
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeError) as error:
-        source = path or FILE_VARIABLE
-        raise SettingsError(source, [Fault("file", str(error), "a readable file")]) from error
-    return parse_settings(text, path)
+    if not path:
+        raise SettingsError(FILE_VARIABLE, [Fault("variable", "nothing", "a file's path")])
+    return parse_settings(read_file(pathlib.Path(path)), path)
 
 
 def _translate(file: _File) -> NodeSettings:
--- a/src/jasmineseam/programs/attempts.py
+++ b/src/jasmineseam/programs/attempts.py
@@ -18,12 +18,13 @@
 from ..measuring.reports import LOAD_HEADER
 from ..measuring.reports import STATE_HEADER
 from ..measuring.reports import parse_load
+from ..requests.headers import strip_headers
 from ..requests.inbound import ATTEMPT_HEADER
 from ..requests.inbound import DEADLINE_HEADER
 from ..requests.inbound import EXTRA_ATTEMPT_HEADER
+from ..requests.inbound import OWN_HEADERS
 from ..requests.inbound import REFUSAL_HEADER
 from ..requests.inbound import InboundRequest
-from ..requests.inbound import strip_headers
 from ..requests.outcome import Answer
 from ..routing.backends import Backend
 from ..routing.pool import Pool
@@ -241,7 +242,7 @@
 
 
 def _build_answer(response: aiohttp.ClientResponse, body: bytes) -> Answer:
-    headers = strip_headers(response.headers)
+    headers = strip_headers(response.headers, OWN_HEADERS)
     if response.method == "HEAD" and "Content-Length" in response.headers:
         headers.append(("Content-Length", response.headers["Content-Length"]))
     return Answer(status=response.status, headers=headers, body=body)
--- a/src/jasmineseam/programs/forwarding.py
+++ b/src/jasmineseam/programs/forwarding.py
@@ -16,10 +16,11 @@
 from ..exceptions import InvariantError
 from ..exceptions import NotRunError
 from ..exceptions import UnknownOutcomeError
+from ..requests.headers import strip_headers
 from ..requests.inbound import DEADLINE_HEADER
 from ..requests.inbound import EXTRA_ATTEMPT_HEADER
+from ..requests.inbound import OWN_HEADERS
 from ..requests.inbound import InboundRequest
-from ..requests.inbound import strip_headers
 from ..requests.key import KEY_HEADER
 from ..requests.outcome import OUTCOME_HEADER
 from ..requests.outcome import Answer
@@ -162,7 +163,7 @@
             raise NotRunError("path-malformed", 400)
         service = headers.get("Host", "").partition(":")[0].lower()
         remaining_s = _parse_deadline(headers.get(DEADLINE_HEADER))
-        stripped = strip_headers(headers)
+        stripped = strip_headers(headers, OWN_HEADERS)
         inbound = self.complete(request.method, path, service, stripped, remaining_s)
         inbound.key = headers.get(KEY_HEADER, "")
         inbound.extra = EXTRA_ATTEMPT_HEADER in headers
--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -21,6 +21,7 @@
 from ..operations.journal import RequestJournal
 from ..operations.journal import RequestLine
 from ..operations.node_settings import RetryLimits
+from ..requests.headers import strip_headers
 from ..requests.proxied import RequestHead
 from ..requests.proxied import ResponseHead
 from ..routing.dispatch import Dispatcher
@@ -62,21 +63,6 @@
 SERVER_ERROR = 500
 ANSWERED = "answered"
 _logger = logbook.Logger("gateway")
-_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 
 
 class Protocol(t.NamedTuple):
@@ -489,16 +475,17 @@
         ours.sent = True
         await connection.send(ours.method, ours.path, headers, ours.body)
 
-        def is_expected(status: int, received: t.Any) -> bool:
+        def decode(status: int, received: t.Any) -> ResponseHead | None:
             head = self._protocol.decode_response(status, received)
-            if head.not_run and not head.request_id:
-                # a server may reject a request before it has read the id
-                return True
-            return not request_id or head.request_id == request_id
+            # a server may reject a request before it has read the id
+            rejected = head.not_run and not head.request_id
+            if request_id and head.request_id != request_id and not rejected:
+                return None
+            return head
 
-        exchange = await connection.receive(is_expected)
+        exchange = await connection.receive(decode)
         observed_at = time.monotonic()
-        head = self._protocol.decode_response(exchange.status, exchange.headers)
+        head = exchange.head
         report = head.report
         if report is not None and self.note_report(ours.dispatcher, load, report, observed_at):
             self._news.note_report(load.server_id, report, observed_at)
@@ -510,14 +497,7 @@
     def _build_headers(
         self, ours: _Request, load: ServerLoad, remaining_s: float
     ) -> CIMultiDict[str]:
-        headers: CIMultiDict[str] = CIMultiDict()
-        dropped = _HOP_HEADERS | self._protocol.own_headers
-        named = ours.headers.get("Connection", "")
-        if named.lower() not in ("", "keep-alive", "close"):
-            dropped = dropped | {name.strip().lower() for name in named.split(",")}
-        for name, value in ours.headers.items():
-            if name.lower() not in dropped:
-                headers.add(name, value)
+        headers = CIMultiDict(strip_headers(ours.headers, self._protocol.own_headers))
         for name, value in self._protocol.encode_request(
             ours.head.request_id, remaining_s, load.server_id
         ):
@@ -574,10 +554,7 @@
         dispatcher.loads = loads
 
     def _build_response(self, request: web.BaseRequest, answer: _Answer) -> web.Response:
-        headers: CIMultiDict[str] = CIMultiDict()
-        for name, value in answer.headers.items():
-            if name.lower() not in _HOP_HEADERS:
-                headers.add(name, value)
+        headers = CIMultiDict(strip_headers(answer.headers))
         body = answer.body if request.method != "HEAD" else None
         return web.Response(status=answer.status, headers=headers, body=body)
 
--- a/src/jasmineseam/programs/load_prober.py
+++ b/src/jasmineseam/programs/load_prober.py
@@ -13,6 +13,7 @@
 from ..measuring.duty import Prober
 from ..measuring.duty import compute_interval_s
 from ..operations.node_settings import ProbeOptions
+from ..requests.proxied import ResponseHead
 from ..routing.dispatch import Dispatcher
 from ..routing.load import ServerLoad
 from .gateway import Gateway
@@ -133,9 +134,9 @@
         try:
             self.sent += 1
             await connection.send("GET", info.health_path, headers, b"")
-            exchange = await connection.receive(self._is_probe_answer)
+            exchange = await connection.receive(self._decode_probe)
             observed_at = time.monotonic()
-            head = self._protocol.decode_response(exchange.status, exchange.headers)
+            head = exchange.head
             _, whole = await connection.read_body(exchange, MAX_BODY_BYTES)
         finally:
             if whole:
@@ -150,6 +151,7 @@
             self._news.note_report(load.server_id, head.report, observed_at)
             dispatcher.pump()
 
-    def _is_probe_answer(self, status: int, headers: t.Any) -> bool:
+    def _decode_probe(self, status: int, headers: t.Any) -> ResponseHead | None:
+        head = self._protocol.decode_response(status, headers)
         # the late answer to an earlier request names that request
-        return not self._protocol.decode_response(status, headers).request_id
+        return None if head.request_id else head
--- a/src/jasmineseam/programs/store_follower.py
+++ b/src/jasmineseam/programs/store_follower.py
@@ -168,6 +168,7 @@
                 continue
             self._note_success("routing table", backoff)
             position = read.position
+            self._table_checked_at = time.monotonic()
             self._take_table(read)
             if read.table is None and position == 0:
                 # nothing was ever written, and a wait at the beginning may be refused
--- a/src/jasmineseam/requests/inbound.py
+++ b/src/jasmineseam/requests/inbound.py
@@ -11,23 +11,13 @@
 ATTEMPT_HEADER = "Jasmineseam-Attempt"
 EXTRA_ATTEMPT_HEADER = "Jasmineseam-Extra-Attempt"
 REFUSAL_HEADER = "Backend-Refusal"
-HOP_HEADERS = frozenset(
+# what an entry sets by itself on its way to a server
+OWN_HEADERS = frozenset(
     {
-        "connection",
-        "content-length",
-        "expect",
         "host",
         "jasmineseam-attempt",
         "jasmineseam-deadline-ms",
         "jasmineseam-extra-attempt",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
     }
 )
 
@@ -66,20 +56,3 @@
             digest.update(b"\0")
         digest.update(self.body)
         return digest.hexdigest()
-
-
-def strip_headers(headers) -> list[tuple[str, str]]:
-    """Return an HTTP message's headers without those for one connection only.
-
-    :param headers: a multi-dict of headers.
-    """
-    named = headers.get("Connection", "")
-    if named in ("", "keep-alive", "close", "Keep-Alive"):
-        return _keep(headers, HOP_HEADERS)
-    dropped = HOP_HEADERS | {name.strip().lower() for name in named.split(",")}
-    return _keep(headers, dropped)
-
-
-def _keep(headers, dropped) -> list[tuple[str, str]]:
-    # aiohttp's own string type has no codec
-    return [(str(name), value) for name, value in headers.items() if name.lower() not in dropped]
--- a/src/jasmineseam/transport/connection.py
+++ b/src/jasmineseam/transport/connection.py
@@ -49,10 +49,12 @@
 class Exchange(t.NamedTuple):
     """A response whose head has arrived.
 
+    :param head: what was decoded from status and headers.
     :param body: the rest of it.
     """
 
     status: int
+    head: t.Any
     reason: str
     headers: t.Any
     body: StreamReader
@@ -93,10 +95,10 @@
         except _TRANSPORT_ERRORS as error:
             raise AttemptLostError("connection-broke") from error
 
-    async def receive(self, is_expected: t.Callable[[int, t.Any], bool]) -> Exchange:
+    async def receive(self, decode: t.Callable[[int, t.Any], t.Any]) -> Exchange:
         """Read the head of the response that is expected, passing over others.
 
-        :param is_expected: tells by status and headers whether a response is the one wanted.
+        :param decode: decodes status and headers, ``None`` if the response is not the one wanted.
         :raises AttemptLostError: if the connection breaks first, or brings something else.
         """
         while True:
@@ -106,9 +108,10 @@
                 raise AttemptLostError("no-response") from error
             if 100 <= message.code < 200:
                 continue
-            if is_expected(message.code, message.headers):
+            head = decode(message.code, message.headers)
+            if head is not None:
                 self._note_head(message)
-                return Exchange(message.code, message.reason, message.headers, payload)
+                return Exchange(message.code, head, message.reason, message.headers, payload)
             await self._skip(payload)
 
     async def read_body(self, exchange: Exchange, limit: int) -> tuple[bytes, bool]:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -30,7 +30,9 @@
     headers = CIMultiDict({"Host": "h", "Jasmineseam-Request-Id": request_id})
     await connection.send("GET", "/a", headers, b"")
     answer = await connection.receive(
-        lambda status, received: received.get("Jasmineseam-Request-Id") == request_id
+        lambda status, received: (
+            status if received.get("Jasmineseam-Request-Id") == request_id else None
+        )
     )
     return await connection.read_body(answer, 1000)
 
