Hold callers to the configuration's limits on heads and idle connections

Cause: of the limits only the body's size was enforced; a caller could send an endless head, take for ever over it, or keep an idle connection for 75 s whatever the operator wrote. With an idle-timeout over 94 s the fixed 75 s would even have closed connections that callers still use.

Change: transport/callers.py extends aiohttp's protocol by what a caller is doing: holding a request, in the middle of a head, or quiet since when. The node closes quiet connections at idle-timeout (callers use them for four fifths of it), answers a slow head with 408 and a large one with 431. The planned stop uses the same knowledge instead of counting checks.

Ruled out: setting aiohttp's own keep-alive time, which existing connections don't follow.

Tests: three of test_node fail before (431, 408, idle); the test of a request that arrives as its connection is closed now asks the new server for it, and its scenario is unchanged.

--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -28,11 +28,13 @@
 from ..routing.dispatch import Wanted
 from ..routing.load import ServerLoad
 from ..routing.patience import RoutePatience
+from ..routing.routes import CallerLimits
 from ..routing.routes import Route
 from ..routing.routes import RouteIndex
 from ..routing.routes import RoutingTable
 from ..routing.routes import SplitCounter
 from ..routing.window import WindowBudget
+from ..transport.callers import CallerConnection
 from ..transport.connection import Connection
 from ..transport.connections import ServerConnections
 from .bodies import read_body
@@ -167,8 +169,6 @@
         self.dispatchers: dict[str, Dispatcher] = {}
         self._nodes = 1
         self.closing = False
-        # callers' connections that hold a request
-        self.busy: set[t.Any] = set()
         self.in_flight = 0
         # takes a request's duration in seconds, and its attributes
         self.record_duration: t.Callable[[float, dict[str, str]], None] = lambda *_: None
@@ -179,6 +179,11 @@
         """The routing table in force."""
         return None if self._index is None else self._index.table
 
+    @property
+    def limits(self) -> CallerLimits:
+        """What callers may send, and for how long."""
+        return CallerLimits() if self._index is None else self._index.table.limits
+
     def set_nodes(self, count: int) -> None:
         """Take the number of nodes that share the servers."""
         self._nodes = count
@@ -244,13 +249,14 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
         self.in_flight += 1
-        connection = request.protocol
-        self.busy.add(connection)
+        connection: CallerConnection = request.protocol
         ours = _Request()
         outcome = "cancelled"
         status = 0
         try:
             try:
+                if not connection.begin_request():
+                    raise NotRunError("head-timeout", 408)
                 await self._receive(request, ours)
                 answer = await self._run(ours)
                 response = self._build_response(request, answer)
@@ -272,7 +278,7 @@
             return response
         finally:
             self.in_flight -= 1
-            self.busy.discard(connection)
+            connection.end_request()
             self._note_ended(ours, outcome, status)
 
     def _note_ended(self, ours: _Request, outcome: str, status: int) -> None:
@@ -297,6 +303,8 @@
         if index is None:
             raise NotRunError("starting", 503, STARTING_RETRY_AFTER_S)
         ours.version = index.table.version
+        if _count_head_bytes(request) > index.table.limits.header_bytes:
+            raise NotRunError("head-too-large", 431)
         ours.method = request.method
         ours.path = request.raw_path
         ours.headers = request.headers
@@ -577,6 +585,13 @@
     return answer.status < SERVER_ERROR
 
 
+def _count_head_bytes(request: web.BaseRequest) -> int:
+    size = len(request.method) + len(request.raw_path)
+    for name, value in request.raw_headers:
+        size += len(name) + len(value)
+    return size
+
+
 def _describe_request(ours: _Request, outcome: str, status: int, now: float) -> RequestLine:
     line = RequestLine(
         id=ours.head.request_id,
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -37,6 +37,7 @@
 from ..peers.notices import NoticeReceiver
 from ..peers.notices import NoticeSender
 from ..routing.routes import RoutingTable
+from ..transport.callers import CallerServer
 from .gateway import Gateway
 from .gateway import Protocol
 from .load_prober import LoadProber
@@ -51,13 +52,16 @@
 UPKEEP_PERIOD_S = 0.5
 # a peer's report that is older on arrival tells nothing of the present
 MAX_REPORT_AGE_S = 1.0
-KEEPALIVE_S = 75.0
-MAX_HEAD_BYTES = 65_536
+MAX_LINE_BYTES = 65_536
+HTTP_OPTIONS = {
+    "max_line_size": MAX_LINE_BYTES,
+    "max_field_size": MAX_LINE_BYTES,
+    "access_log": None,
+    "auto_decompress": False,
+}
 BACKLOG = 1024
 DURATION_BOUNDS_S = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
 STOP_CHECK_S = 0.02
-# checks, each a turn of the loop or more, for which a connection must hold no request
-IDLE_CHECKS = 5
 # parts of the grace period: callers are told of the stop, new connections are refused, the end
 LISTEN_SHARE = 0.45
 END_SHARE = 0.94
@@ -119,7 +123,7 @@
         self._reload_settings = reload_settings
         self._leaving = False
         self._runners: list[web.ServerRunner] = []
-        self._entry_runner: web.ServerRunner | None = None
+        self._entry_server: CallerServer | None = None
         self._chooser = random.Random()
         self.answered_locations = 0
         self.registry = Registry(clock=time.monotonic, on_change=lambda: self.gateway.refresh())
@@ -239,12 +243,11 @@
         self.mesh.hurry()
         await asyncio.sleep(LISTEN_SHARE * grace_s)
         self.prober.stopped = True
-        for site in list(self._entry_runner.sites):
+        for site in list(self._runners[0].sites):
             await site.stop()
-        idle: dict[t.Any, int] = {}
         while time.monotonic() < began_at + END_SHARE * grace_s:
-            idle = self._close_idle_connections(idle)
-            if self.gateway.in_flight == 0 and not self._entry_runner.server.connections:
+            self._entry_server.close_quiet()
+            if self.gateway.in_flight == 0 and not self._entry_server.connections:
                 break
             await asyncio.sleep(STOP_CHECK_S)
         self.logger.info(
@@ -253,27 +256,6 @@
             time.monotonic() - began_at,
         )
 
-    def _close_idle_connections(self, idle_before: dict[t.Any, int]) -> dict[t.Any, int]:
-        """Close callers' connections that hold no request; those in use close with their answer.
-
-        aiohttp's own call ends the task of an idle connection, unless a request has just arrived,
-        but leaves the connection open, and a request that came later would never be answered.
-        So the transport is closed a few checks after that, when a request that had just arrived
-        has been taken up.
-
-        :param idle_before: what the call before returned.
-        :returns: for how many checks each connection has held no request.
-        """
-        idle = {}
-        for connection in list(self._entry_runner.server.connections):
-            if connection in self.gateway.busy:
-                continue
-            connection.close()
-            idle[connection] = idle_before.get(connection, 0) + 1
-            if idle[connection] > IDLE_CHECKS and connection.transport is not None:
-                connection.transport.close()
-        return idle
-
     async def on_stop(self) -> None:
         """Close all listeners and connections."""
         self.mesh.close()
@@ -414,33 +396,30 @@
             self.gateway.set_nodes(self.mesh.count_known())
             addresses = {listing.server.address for listing in self.registry.list_all()}
             self.gateway.connections.expire(addresses)
+            limits = self.gateway.limits
+            self._entry_server.close_quiet(limits.idle_timeout_s)
+            self._entry_server.refuse_slow_heads(limits.header_timeout_s)
             self.mesh.forget()
 
     async def _listen(self) -> None:
         listeners = self.settings.listeners
-        self._entry_runner = await self._serve(self.gateway.handle, listeners.entry)
-        await self._serve(self._answer_readiness, listeners.readiness)
-        await self._serve(self._answer_location, listeners.locator)
+        self._entry_server = CallerServer(self.gateway.handle, **HTTP_OPTIONS)
+        await self._serve(self._entry_server, listeners.entry)
+        await self._serve(self._make_server(self._answer_readiness), listeners.readiness)
+        await self._serve(self._make_server(self._answer_location), listeners.locator)
         if self.options.metrics_port:
             address = f"{self.settings.vm.address}:{self.options.metrics_port}"
-            await self._serve(self._answer_metrics, address)
+            await self._serve(self._make_server(self._answer_metrics), address)
+
+    def _make_server(self, handler: t.Callable) -> web.Server:
+        return web.Server(handler, handler_cancellation=True, **HTTP_OPTIONS)
 
-    async def _serve(self, handler: t.Callable, address: str) -> web.ServerRunner:
+    async def _serve(self, server: web.Server, address: str) -> None:
         host, _, port = address.rpartition(":")
-        server = web.Server(
-            handler,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_S,
-            max_line_size=MAX_HEAD_BYTES,
-            max_field_size=MAX_HEAD_BYTES,
-            access_log=None,
-            auto_decompress=False,
-        )
         runner = web.ServerRunner(server, access_log=None)
         await runner.setup()
         await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
         self._runners.append(runner)
-        return runner
 
     async def _answer_readiness(self, request: web.BaseRequest) -> web.Response:
         if request.path != self._interface.readiness_path:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -63,7 +63,15 @@
     }
 
 
-def build_configuration(version, routes, services=("fit", "other")):
+LIMITS = {
+    "max-header-bytes": 16384,
+    "max-body-bytes": 1_000_000,
+    "header-timeout": "3000ms",
+    "idle-timeout": "15000ms",
+}
+
+
+def build_configuration(version, routes, services=("fit", "other"), limits=LIMITS):
     """Return a configuration as the operator writes it."""
     return {
         "version": f"{version:08x}",
@@ -71,12 +79,7 @@
         "services": [
             {"name": name, "health-path": "/healthz", "max-conns": 260} for name in services
         ],
-        "limits": {
-            "max-header-bytes": 16384,
-            "max-body-bytes": 1_000_000,
-            "header-timeout": "3000ms",
-            "idle-timeout": "15000ms",
-        },
+        "limits": limits,
     }
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -464,7 +464,7 @@
         await asyncio.gather(*openers)
         assert opened
         # the process would end now, and take with it what is still open
-        assert not node._entry_runner.server.connections
+        assert not node._entry_server.connections
         for reader, writer in opened:
             async with asyncio.timeout(5.0):
                 assert await reader.read() == b""
@@ -505,13 +505,13 @@
         node = await start(deployment)
         host, _, port = node.settings.listeners.entry.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        server = node._entry_runner.server
+        server = node._entry_server
         await wait_until(lambda: server.connections, "the connection is accepted")
         (connection,) = server.connections
-        idle = dict.fromkeys(server.connections, 1)
+        connection.quiet_since -= 10.0
         head = "GET /safe/1 HTTP/1.1\r\nHost: fit.example\r\nJasmineseam-Request-Id: q-1\r\n\r\n"
         connection.data_received(head.encode())
-        node._close_idle_connections(idle)
+        server.close_quiet()
         async with asyncio.timeout(5.0):
             answer = await reader.readuntil(b"\r\n\r\n")
         assert answer.startswith(b"HTTP/1.1 200")
@@ -555,3 +555,70 @@
         assert line["outcome"] == "fault"
 
     play(scenario)
+
+
+async def open_to(node):
+    host, _, port = node.settings.listeners.entry.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+LIMITS = {
+    "max-header-bytes": 600,
+    "max-body-bytes": 100,
+    "header-timeout": "400ms",
+    "idle-timeout": "1500ms",
+}
+
+
+@pytest.mark.parametrize(
+    ("header", "body", "status"),
+    [("x", b"", 200), ("x" * 600, b"", 431), ("x", b"y" * 100, 200), ("x", b"y" * 101, 413)],
+)
+def test_what_a_caller_sends_is_bounded_by_the_configuration(header, body, status):
+    async def scenario(deployment):
+        deployment.configure(limits=LIMITS)
+        node = await start(deployment, configure=False)
+        got, _, _ = await deployment.ask(
+            node, "/safe/1", method="POST", body=body, **{"X-Long": header}
+        )
+        assert got == status
+
+    play(scenario)
+
+
+def test_a_caller_that_is_slow_with_its_head_is_refused():
+    async def scenario(deployment):
+        deployment.configure(limits=LIMITS)
+        node = await start(deployment, configure=False)
+        reader, writer = await open_to(node)
+        began_at = time.monotonic()
+        writer.write(b"GET /safe/1 HTTP/1.1\r\nHost: fit")
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 408")
+        # the limit, and the time between two checks
+        assert 0.35 < time.monotonic() - began_at < 1.2
+        writer.close()
+
+    play(scenario)
+
+
+def test_an_idle_connection_is_kept_for_as_long_as_callers_use_it_and_closed_later():
+    async def scenario(deployment):
+        deployment.configure(limits=LIMITS)
+        node = await start(deployment, configure=False)
+        reader, writer = await open_to(node)
+        head = b"GET /safe/1 HTTP/1.1\r\nHost: fit.example\r\nJasmineseam-Request-Id: q-%d\r\n\r\n"
+        for number in range(2):
+            writer.write(head % number)
+            answer = await reader.readuntil(b"\r\n\r\n")
+            assert answer.startswith(b"HTTP/1.1 200")
+            length = int(answer.lower().partition(b"content-length:")[2].split()[0])
+            await reader.readexactly(length)
+            ended_at = time.monotonic()
+            # callers use a connection again within four fifths of the limit
+            await asyncio.sleep(1.2 if number == 0 else 0.0)
+        assert await reader.read() == b""
+        assert 1.4 < time.monotonic() - ended_at < 2.4
+        writer.close()
+
+    play(scenario)
