Tell from the nodes' logs what became of a request

Cause: an engineer had to grep and know the meaning of each reason by heart, and request lines had no time, so they could not be put beside what nodes said of themselves.

jasmineseam-ctl explain merges the nodes' logs, orders them by time and prints route, version, times, attempts with what was known of each host and how old it was, the cause in a sentence, and the events around it; as text or JSON. Lines of requests carry the time.

Test: test_stories produces a late answer, a refusal and a broken connection on real nodes and checks that the story names the cause.

--- a/src/jasmineseam/operations/journal.py
+++ b/src/jasmineseam/operations/journal.py
@@ -6,18 +6,25 @@
 
 from __future__ import annotations
 
+import datetime
 import typing as t
 
 import msgspec
 
+ANSWERED = "answered"
 WINDOW_S = 1.0
 # part of the rate that requests answered as usual may use
 USUAL_SHARE = 0.5
 
 
+def _read_clock() -> datetime.datetime:
+    return datetime.datetime.now(datetime.UTC).replace(tzinfo=None)
+
+
 class RequestLine(msgspec.Struct, kw_only=True, omit_defaults=True):
     """One request's line.
 
+    :param time: of the end, UTC.
     :param ms: how long the request took, in milliseconds.
     :param target_ms: time in which it should have been answered, less than 0 if it came too late.
     :param deadline_ms: time in which it had to be answered.
@@ -27,6 +34,7 @@
     """
 
     id: str
+    time: datetime.datetime = msgspec.field(default_factory=_read_clock)
     outcome: str
     status: int
     ms: int
--- a/src/jasmineseam/programs/ctl.py
+++ b/src/jasmineseam/programs/ctl.py
@@ -25,6 +25,11 @@
 from ..exceptions import LogUnavailableError
 from ..operations.daemon import load_or_exit
 from ..operations.settings import Settings
+from ..operations.stories import LogLines
+from ..operations.stories import format_story
+from ..operations.stories import list_starts
+from ..operations.stories import read_lines
+from ..operations.stories import tell_stories
 from ..peers.messages import DumpReply
 from ..peers.messages import DumpRequest
 from ..standalone.log import CATALOGUE_STREAM
@@ -269,7 +274,37 @@
     print(msgspec.json.format(reply.document))
 
 
+def explain(request_id: str, *log_files: pathlib.Path, json: bool = False) -> None:
+    """Tell from the nodes' logs what became of a request, and why.
+
+    :param request_id: the request's id.
+    :param log_files: the standard output of the nodes, one file a node.
+    :param json: print the story as JSON.
+    """
+    lines = LogLines()
+    for path in log_files:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as file:
+                read_lines(request_id, path.name, file, lines)
+        except OSError as error:
+            print(f"{path}: {error}", file=sys.stderr)
+            sys.exit(Exit.REFUSED)
+    if lines.unreadable:
+        print(f"{lines.unreadable} lines are no log lines", file=sys.stderr)
+    stories = tell_stories(lines)
+    if json:
+        print(msgspec.json.encode(stories).decode())
+    for story in stories if not json else []:
+        print(format_story(story))
+    if stories:
+        sys.exit(Exit.DONE)
+    print("no line of it: its node was lost, or its line was dropped; starts:", file=sys.stderr)
+    for start in list_starts(lines):
+        print(f"  {start.time.isoformat()} {start.source}", file=sys.stderr)
+    sys.exit(Exit.NOT_KNOWN)
+
+
 def main() -> None:
     """Run the program's command line."""
-    commands = [check, publish, withdraw, show, wait, dump]
+    commands = [check, publish, withdraw, show, wait, dump, explain]
     defopt.run(commands, cli_options="has_default", short={})
--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -18,6 +18,7 @@
 from ..exceptions import NotRunError
 from ..exceptions import UnknownOutcomeError
 from ..membership.registry import Registry
+from ..operations.journal import ANSWERED
 from ..operations.journal import RequestJournal
 from ..operations.journal import RequestLine
 from ..operations.node_settings import RetryLimits
@@ -63,7 +64,6 @@
 # part of the time left that is kept for the answer's way back, in seconds
 ANSWER_MARGIN_S = 0.005
 SERVER_ERROR = 500
-ANSWERED = "answered"
 _logger = logbook.Logger("gateway")
 
 
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,98 @@
+"""What ``jasmineseam-ctl explain`` tells of failed requests, on lines of real nodes."""
+
+import asyncio
+import json
+import sys
+
+import pytest
+
+from standins.instance import InstanceBehaviour
+from tests.deployment import build_route
+from tests.deployment import play
+
+ROUTES = [
+    build_route("/safe/", **{"target-latency": "100ms"}),
+    build_route("/order/", kind="unsafe"),
+]
+
+
+async def answer_late(deployment, node):
+    deployment.instances["i-1"].behaviour = InstanceBehaviour(work_s=0.3)
+    status, _, _ = await deployment.ask(node, "/safe/1", request_id="lost-7")
+    assert status == 200
+
+
+async def refuse(deployment, node):
+    deployment.instances["i-1"].behaviour = InstanceBehaviour(work_s=0.6)
+    asks = [deployment.ask(node, "/safe/1") for _ in range(16)]
+    others = asyncio.ensure_future(asyncio.gather(*asks))
+    await asyncio.sleep(0.1)
+    status, headers, _ = await deployment.ask(node, "/safe/1", request_id="lost-7")
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    await others
+
+
+async def break_off(deployment, node):
+    deployment.instances["i-1"].behaviour = InstanceBehaviour(fault="reset")
+    status, _, _ = await deployment.ask(node, "/order/1", request_id="lost-7")
+    assert status == 502
+
+
+async def run_explain(*arguments):
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        "from jasmineseam.programs.ctl import main; main()",
+        "explain",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    output, errors = await process.communicate()
+    return process.returncode, output.decode(), errors.decode()
+
+
+@pytest.mark.parametrize(
+    ("fail", "cause"),
+    [
+        (answer_late, "late: server i-1 took 3"),
+        (refuse, "no server had a slot free until the target could not be met any more"),
+        (break_off, "the server's connection broke after the request had been sent (i-1)"),
+    ],
+)
+def test_the_story_of_a_failed_request_names_its_cause(tmp_path, fail, cause):
+    async def scenario(deployment):
+        deployment.configure(routes=ROUTES)
+        await deployment.add_instance("i-1")
+        nodes = [await deployment.add_node(name) for name in ("vm-1", "vm-2")]
+        await fail(deployment, nodes[0])
+        files = []
+        for node in nodes:
+            path = tmp_path / f"{node.settings.vm.id}.log"
+            path.write_text("".join(json.dumps(line) + "\n" for line in node.lines))
+            files.append(str(path))
+        code, text, errors = await run_explain("lost-7", *files)
+        assert (code, errors) == (0, "")
+        assert text.startswith("lost-7 at vm-1.log: ")
+        assert f"cause: {cause}" in text
+        code, text, _ = await run_explain("lost-7", *files, "--json")
+        (story,) = json.loads(text)
+        assert story["cause"].startswith(cause)
+        assert story["line"]["table"] == 1
+
+    play(scenario)
+
+
+def test_a_request_without_a_line_points_at_the_starts_of_nodes(tmp_path):
+    async def scenario():
+        start = {"time": "2026-01-02T03:04:05", "level": "INFO", "part": "node"}
+        log = tmp_path / "vm-1.log"
+        log.write_text(json.dumps({**start, "message": "Started as 7 on h:1."}) + "\ncut off {\n")
+        code, text, errors = await run_explain("gone", str(log))
+        assert (code, text) == (3, "")
+        assert "1 lines are no log lines" in errors
+        assert "2026-01-02T03:04:05 vm-1.log" in errors
+        assert (await run_explain("gone", str(tmp_path / "none")))[0] == 1
+
+    asyncio.run(scenario())
