--- a/src/jasmineseam/platform/headers.py
+++ b/src/jasmineseam/platform/headers.py
@@ -6,7 +6,7 @@
 import typing as t
 
 from ..measuring.reports import ServerReport
-from ..programs.gateway import Protocol
+from ..requests.proxied import Protocol
 from ..requests.proxied import RequestHead
 from ..requests.proxied import ResponseHead
 
--- a/src/jasmineseam/platform/program.py
+++ b/src/jasmineseam/platform/program.py
@@ -16,8 +16,8 @@
 from ..operations.node_settings import NodeSettings
 from ..operations.node_settings import load_options
 from ..operations.output import LineOutput
-from ..programs.node import Interface
 from ..programs.node import Node
+from ..programs.node_pages import Interface
 from .directory import Directory
 from .headers import PROTOCOL
 from .interface import LOCATOR_PATH
--- /dev/null
+++ b/src/jasmineseam/programs/answers.py
@@ -0,0 +1,31 @@
+"""Responses to callers."""
+
+from __future__ import annotations
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from ..exceptions import NotRunError
+from ..exceptions import UnknownOutcomeError
+from ..requests.headers import strip_headers
+from ..requests.proxied import Answer
+
+
+def build_response(method: str, answer: Answer) -> web.Response:
+    """Return a server's answer for the caller."""
+    headers = CIMultiDict(strip_headers(answer.headers))
+    body = answer.body if method != "HEAD" else None
+    return web.Response(status=answer.status, headers=headers, body=body)
+
+
+def build_refusal(error: NotRunError) -> web.Response:
+    """Return the response for a request that was not run, and will not be."""
+    headers = {}
+    if error.retry_after_s is not None:
+        headers["Retry-After"] = f"{error.retry_after_s:.3f}"
+    return web.Response(status=error.status, headers=headers, text=f"{error.reason}\n")
+
+
+def build_failure(error: UnknownOutcomeError) -> web.Response:
+    """Return the response for a request that may have been run."""
+    return web.Response(status=error.status, text=f"{error.reason}\n")
--- /dev/null
+++ b/src/jasmineseam/programs/load_news.py
@@ -0,0 +1,118 @@
+"""What nodes tell each other of the servers' load: reports, and requests that they have there."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import typing as t
+
+from ..measuring.reports import ServerReport
+from ..peers.messages import LoadNotice
+from ..peers.messages import LoadReportItem
+from ..peers.messages import Message
+from .dispatchers import Dispatchers
+
+NEWS_PERIOD_S = 0.02
+# a peer's report that is older on arrival tells nothing of the present
+MAX_REPORT_AGE_S = 1.0
+
+
+class LoadNews:
+    """Collects what a node learns of load between two notices to its peers."""
+
+    __slots__ = ("_counts", "_reports", "_sent_counts")
+
+    def __init__(self) -> None:
+        self._reports: dict[str, tuple[ServerReport, float]] = {}
+        self._counts: dict[str, int] = {}
+        self._sent_counts: dict[str, int] = {}
+
+    def note_report(self, server_id: str, report: ServerReport, observed_at: float) -> None:
+        """Note a server's own report."""
+        self._reports[server_id] = (report, observed_at)
+
+    def note_count(self, server_id: str, count: int) -> None:
+        """Note how many requests of this node a server holds."""
+        self._counts[server_id] = count
+
+    def take(self, vm_id: str, now: float) -> LoadNotice | None:
+        """Return the notice of what is new, ``None`` if nothing is."""
+        counts = [
+            (server_id, count)
+            for server_id, count in self._counts.items()
+            if self._sent_counts.get(server_id) != count
+        ]
+        if not counts and not self._reports:
+            return None
+        reports = [
+            _make_item(server_id, report, now - observed_at)
+            for server_id, (report, observed_at) in self._reports.items()
+        ]
+        self._sent_counts.update(counts)
+        self._counts.clear()
+        self._reports.clear()
+        return LoadNotice(vm_id=vm_id, reports=reports, counts=counts)
+
+
+class LoadExchange:
+    """Spreads a node's news of load, and takes its peers'.
+
+    :param vm_id: the node's own.
+    :param news: what it has learnt.
+    :param dispatchers: take what the peers have learnt.
+    :param notify: sends a message to all peers.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        news: LoadNews,
+        dispatchers: Dispatchers,
+        notify: t.Callable[[Message], None],
+    ) -> None:
+        self._vm_id = vm_id
+        self.news = news
+        self._dispatchers = dispatchers
+        self._notify = notify
+
+    def take(self, notice: LoadNotice) -> None:
+        """Take what a peer has learnt."""
+        now = time.monotonic()
+        for item in notice.reports:
+            found = self._dispatchers.find_load(item.server_id)
+            if found is None or item.age_ms > MAX_REPORT_AGE_S * 1000:
+                continue
+            dispatcher, load = found
+            report = ServerReport(
+                running=item.running,
+                waiting=item.waiting,
+                slots=item.slots,
+                slowness=item.slowness_pct / 100,
+            )
+            self._dispatchers.note_report(dispatcher, load, report, now - item.age_ms / 1000)
+        for server_id, count in notice.counts:
+            found = self._dispatchers.find_load(server_id)
+            if found is not None:
+                found[1].note_peer_count(notice.vm_id, count, now)
+        for dispatcher in self._dispatchers.list_all():
+            dispatcher.pump()
+
+    async def spread_forever(self) -> None:
+        """Tell the peers until cancelled."""
+        while True:
+            await asyncio.sleep(NEWS_PERIOD_S)
+            notice = self.news.take(self._vm_id, time.monotonic())
+            if notice is not None:
+                self._notify(notice)
+
+
+def _make_item(server_id: str, report: ServerReport, age_s: float) -> LoadReportItem:
+    return LoadReportItem(
+        server_id,
+        report.running,
+        report.waiting,
+        report.slots,
+        round(report.slowness * 100),
+        max(0, round(age_s * 1000)),
+    )
--- a/src/jasmineseam/programs/load_prober.py
+++ b/src/jasmineseam/programs/load_prober.py
@@ -13,12 +13,12 @@
 from ..measuring.duty import Prober
 from ..measuring.duty import compute_interval_s
 from ..operations.node_settings import ProbeOptions
+from ..requests.proxied import Protocol
 from ..requests.proxied import ResponseHead
 from ..routing.dispatch import Dispatcher
 from ..routing.load import ServerLoad
 from .gateway import Gateway
-from .gateway import Protocol
-from .mesh import LoadNews
+from .load_news import LoadNews
 
 TICK_S = 0.01
 PROBE_TIMEOUT_S = 0.5
@@ -77,14 +77,14 @@
             now = time.monotonic()
             if now - self._intervals_at >= DUTY_PERIOD_S:
                 self._refresh_duties(now)
-            for dispatcher in self._gateway.dispatchers.values():
+            for dispatcher in self._gateway.dispatchers.list_all():
                 self._probe_service(dispatcher, now)
 
     def _refresh_duties(self, now: float) -> None:
         self._intervals_at = now
         self._intervals = {}
         probers = self._list_probers()
-        for dispatcher in self._gateway.dispatchers.values():
+        for dispatcher in self._gateway.dispatchers.list_all():
             active = now - dispatcher.requested_at < ACTIVE_S
             wanted_s = self._options.interval_s if active else self._options.idle_interval_s
             for load in dispatcher.loads.values():
@@ -147,7 +147,7 @@
             return
         if head.report is None:
             return
-        if self._gateway.note_report(dispatcher, load, head.report, observed_at):
+        if self._gateway.dispatchers.note_report(dispatcher, load, head.report, observed_at):
             self._news.note_report(load.server_id, head.report, observed_at)
             dispatcher.pump()
 
--- a/src/jasmineseam/programs/mesh.py
+++ b/src/jasmineseam/programs/mesh.py
@@ -13,7 +13,6 @@
 from ..membership.vms import EntryVms
 from ..membership.vms import VmInfo
 from ..peers.links import PeerLinks
-from ..peers.messages import LoadNotice
 from ..peers.messages import Message
 from ..peers.messages import NodeGossip
 from ..peers.notices import NoticeSender
@@ -186,40 +185,3 @@
             self._on_table(reply.table, reply.vm.vm_id)
         if reply.listings is not None:
             self._on_listings(reply.listings, reply.servers_position, reply.servers_age_s)
-
-
-class LoadNews:
-    """Collects what a node learns of load between two notices to its peers."""
-
-    __slots__ = ("_counts", "_reports", "_sent_counts")
-
-    def __init__(self) -> None:
-        self._reports: dict[str, tuple[t.Any, float]] = {}
-        self._counts: dict[str, int] = {}
-        self._sent_counts: dict[str, int] = {}
-
-    def note_report(self, server_id: str, report: t.Any, observed_at: float) -> None:
-        """Note a server's own report."""
-        self._reports[server_id] = (report, observed_at)
-
-    def note_count(self, server_id: str, count: int) -> None:
-        """Note how many requests of this node a server holds."""
-        self._counts[server_id] = count
-
-    def take(self, vm_id: str, now: float, make_item: t.Callable) -> LoadNotice | None:
-        """Return the notice of what is new, ``None`` if nothing is."""
-        counts = [
-            (server_id, count)
-            for server_id, count in self._counts.items()
-            if self._sent_counts.get(server_id) != count
-        ]
-        if not counts and not self._reports:
-            return None
-        reports = [
-            make_item(server_id, report, now - observed_at)
-            for server_id, (report, observed_at) in self._reports.items()
-        ]
-        self._sent_counts.update(counts)
-        self._counts.clear()
-        self._reports.clear()
-        return LoadNotice(vm_id=vm_id, reports=reports, counts=counts)
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import random
 import time
 import typing as t
 
@@ -13,22 +12,16 @@
 
 from ..exceptions import SettingsError
 from ..measuring.duty import Prober
-from ..measuring.reports import ServerReport
 from ..membership.registry import Listing
 from ..membership.registry import Registry
 from ..membership.vms import EntryProcess
 from ..membership.vms import VmInfo
 from ..operations.daemon import Daemon
 from ..operations.journal import RequestJournal
-from ..operations.metrics import add_counter
-from ..operations.metrics import add_gauge
-from ..operations.metrics import add_histogram
-from ..operations.metrics import render_metrics
 from ..operations.node_settings import NodeOptions
 from ..operations.node_settings import NodeSettings
 from ..operations.output import LineOutput
 from ..peers.messages import LoadNotice
-from ..peers.messages import LoadReportItem
 from ..peers.messages import Message
 from ..peers.messages import NodeGossip
 from ..peers.messages import Refused
@@ -36,22 +29,23 @@
 from ..peers.messages import TableNotice
 from ..peers.notices import NoticeReceiver
 from ..peers.notices import NoticeSender
+from ..requests.proxied import Protocol
 from ..routing.routes import RoutingTable
 from ..transport.callers import CallerServer
 from .gateway import Gateway
-from .gateway import Protocol
+from .load_news import LoadExchange
+from .load_news import LoadNews
 from .load_prober import LoadProber
 from .mesh import HEARD_FOR_S
-from .mesh import LoadNews
 from .mesh import Mesh
+from .node_metrics import add_node_metrics
+from .node_pages import Interface
+from .node_pages import NodePages
 from .store_follower import NodeRecord
 from .store_follower import Store
 from .store_follower import StoreFollower
 
-NEWS_PERIOD_S = 0.02
 UPKEEP_PERIOD_S = 0.5
-# a peer's report that is older on arrival tells nothing of the present
-MAX_REPORT_AGE_S = 1.0
 MAX_LINE_BYTES = 65_536
 HTTP_OPTIONS = {
     "max_line_size": MAX_LINE_BYTES,
@@ -60,28 +54,12 @@
     "auto_decompress": False,
 }
 BACKLOG = 1024
-DURATION_BOUNDS_S = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
 STOP_CHECK_S = 0.02
 # parts of the grace period: callers are told of the stop, new connections are refused, the end
 LISTEN_SHARE = 0.45
 END_SHARE = 0.94
 
 
-class Interface(t.NamedTuple):
-    """How a node is asked for its readiness and for entries.
-
-    :param readiness_path: where readiness is asked for.
-    :param locator_path: where entries are asked for.
-    :param get_caller_domain: reads the asking caller's failure domain from the query.
-    :param encode_entries: writes entries' addresses and their lifetime in seconds.
-    """
-
-    readiness_path: str
-    locator_path: str
-    get_caller_domain: t.Callable[[t.Mapping[str, str]], str]
-    encode_entries: t.Callable[[list[str], float], bytes]
-
-
 class Node(Daemon):
     """One node.
 
@@ -124,8 +102,6 @@
         self._leaving = False
         self._runners: list[web.ServerRunner] = []
         self._entry_server: CallerServer | None = None
-        self._chooser = random.Random()
-        self.answered_locations = 0
         self.registry = Registry(clock=time.monotonic, on_change=lambda: self.gateway.refresh())
         self.news = LoadNews()
         self.journal = RequestJournal(write=output.write, lines_per_s=options.log_lines_per_s)
@@ -148,6 +124,12 @@
             on_table=self._take_table,
             on_listings=self._take_listings,
         )
+        self.load_exchange = LoadExchange(
+            vm_id=settings.vm.id,
+            news=self.news,
+            dispatchers=self.gateway.dispatchers,
+            notify=self.mesh.notify_all,
+        )
         self.mesh.get_servers_age_s = self._get_servers_age_s
         self.mesh.list_servers = lambda: (self.registry.list_all(), self.registry.position)
 
@@ -192,14 +174,14 @@
             self.follower.follow_servers(),
             self.follower.follow_nodes(lambda: len(self.mesh.vms.list_known()) > 0),
             self.prober.probe_forever(),
-            self._spread_news(),
+            self.load_exchange.spread_forever(),
             self._keep_up(),
             self._output.flush_forever(),
         ):
             self.add_future(task)
         self._notice_receiver.start()
         await self._listen()
-        self._add_metrics()
+        add_node_metrics(self.metrics, self, self._output)
 
     async def handle(self, message: Message) -> Message:
         """Answer the other nodes."""
@@ -228,7 +210,8 @@
 
     def _take_notice(self, message: Message) -> None:
         if isinstance(message, LoadNotice):
-            self._take_load(message)
+            self.mesh.vms.refresh(message.vm_id)
+            self.load_exchange.take(message)
         elif isinstance(message, ServersNotice):
             self.follower.take_notice(message)
         elif isinstance(message, TableNotice):
@@ -286,7 +269,7 @@
                 for vm in self.mesh.vms.list_known()
             },
             "services": {
-                name: {
+                dispatcher.service: {
                     "queued": dispatcher.count_queued(),
                     "usual_s": round(dispatcher.usual_s, 4),
                     "slowness": round(dispatcher.slowness.value, 2),
@@ -298,7 +281,7 @@
                         for load in dispatcher.loads.values()
                     },
                 }
-                for name, dispatcher in self.gateway.dispatchers.items()
+                for dispatcher in self.gateway.dispatchers.list_all()
             },
             "probes": {"sent": self.prober.sent, "failed": self.prober.failed},
         }
@@ -361,39 +344,10 @@
         self.registry.take_all(listings, position)
         self.logger.info("Took {} servers from a peer, {:.2f} s old.", len(listings), age_s)
 
-    def _take_load(self, notice: LoadNotice) -> None:
-        self.mesh.vms.refresh(notice.vm_id)
-        now = time.monotonic()
-        for item in notice.reports:
-            found = self.gateway.find_load(item.server_id)
-            if found is None or item.age_ms > MAX_REPORT_AGE_S * 1000:
-                continue
-            dispatcher, load = found
-            report = ServerReport(
-                running=item.running,
-                waiting=item.waiting,
-                slots=item.slots,
-                slowness=item.slowness_pct / 100,
-            )
-            self.gateway.note_report(dispatcher, load, report, now - item.age_ms / 1000)
-        for server_id, count in notice.counts:
-            found = self.gateway.find_load(server_id)
-            if found is not None:
-                found[1].note_peer_count(notice.vm_id, count, now)
-        for dispatcher in self.gateway.dispatchers.values():
-            dispatcher.pump()
-
-    async def _spread_news(self) -> None:
-        while True:
-            await asyncio.sleep(NEWS_PERIOD_S)
-            notice = self.news.take(self.settings.vm.id, time.monotonic(), _make_item)
-            if notice is not None:
-                self.mesh.notify_all(notice)
-
     async def _keep_up(self) -> None:
         while True:
             await asyncio.sleep(UPKEEP_PERIOD_S)
-            self.gateway.set_nodes(self.mesh.count_known())
+            self.gateway.dispatchers.set_nodes(self.mesh.count_known())
             addresses = {listing.server.address for listing in self.registry.list_all()}
             self.gateway.connections.expire(addresses)
             limits = self.gateway.limits
@@ -403,13 +357,22 @@
 
     async def _listen(self) -> None:
         listeners = self.settings.listeners
+        pages = NodePages(
+            interface=self._interface,
+            is_ready=lambda: self.ready,
+            list_live=self.mesh.list_live,
+            get_lifetime_s=self._get_lifetime_s,
+        )
         self._entry_server = CallerServer(self.gateway.handle, **HTTP_OPTIONS)
         await self._serve(self._entry_server, listeners.entry)
-        await self._serve(self._make_server(self._answer_readiness), listeners.readiness)
-        await self._serve(self._make_server(self._answer_location), listeners.locator)
+        await self._serve(self._make_server(pages.answer_readiness), listeners.readiness)
+        await self._serve(self._make_server(pages.answer_location), listeners.locator)
         if self.options.metrics_port:
             address = f"{self.settings.vm.address}:{self.options.metrics_port}"
-            await self._serve(self._make_server(self._answer_metrics), address)
+            await self._serve(self._make_server(pages.answer_metrics), address)
+
+    def _get_lifetime_s(self) -> float:
+        return min(self.options.lifetime_s, self.settings.longest_lifetime_s)
 
     def _make_server(self, handler: t.Callable) -> web.Server:
         return web.Server(handler, handler_cancellation=True, **HTTP_OPTIONS)
@@ -420,79 +383,3 @@
         await runner.setup()
         await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
         self._runners.append(runner)
-
-    async def _answer_readiness(self, request: web.BaseRequest) -> web.Response:
-        if request.path != self._interface.readiness_path:
-            return web.Response(status=404, text="not found\n")
-        if self.ready:
-            return web.Response(text="ready\n")
-        return web.Response(status=503, text="not ready\n")
-
-    async def _answer_location(self, request: web.BaseRequest) -> web.Response:
-        if request.path != self._interface.locator_path:
-            return web.Response(status=404, text="not found\n")
-        domain = self._interface.get_caller_domain(request.query)
-        addresses = self._list_entries(domain)
-        if not addresses:
-            return web.Response(status=503, text="no entry is known yet\n")
-        self.answered_locations += 1
-        lifetime_s = min(self.options.lifetime_s, self.settings.longest_lifetime_s)
-        body = self._interface.encode_entries(addresses, lifetime_s)
-        return web.Response(body=body, content_type="application/json")
-
-    def _list_entries(self, domain: str) -> list[str]:
-        live = self.mesh.list_live()
-        near = [vm for vm in live if vm.failure_domain == domain]
-        addresses = [entry.http_address for vm in near or live for entry in vm.entries]
-        self._chooser.shuffle(addresses)
-        return addresses
-
-    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
-        return web.Response(body=render_metrics(), content_type="text/plain")
-
-    def _add_metrics(self) -> None:
-        def read_outcomes():
-            return [(count, {"outcome": name}) for name, count in self.gateway.outcomes.items()]
-
-        def read_probes():
-            return [
-                (self.prober.sent, {"result": "sent"}),
-                (self.prober.failed, {"result": "failed"}),
-            ]
-
-        def read_lines():
-            return [(self.journal.dropped_total + self._output.dropped, {})]
-
-        def read_in_flight():
-            return [(self.gateway.in_flight, {})]
-
-        def read_queued():
-            return [(self.gateway.count_queued(), {})]
-
-        def read_opened():
-            return [(self.gateway.connections.opened, {})]
-
-        def read_age():
-            return [(self.registry.get_age_s(), {})]
-
-        self.gateway.record_duration = add_histogram(
-            self.metrics, "request.duration", "s", "Time to the answer.", DURATION_BOUNDS_S
-        )
-        add_counter(self.metrics, "requests", "1", "Requests, by outcome.", read_outcomes)
-        add_counter(self.metrics, "probes", "1", "Probes of servers.", read_probes)
-        add_counter(self.metrics, "log.dropped", "1", "Log lines left out.", read_lines)
-        add_counter(self.metrics, "connections", "1", "Opened to servers.", read_opened)
-        add_gauge(self.metrics, "requests.in_flight", "1", "Requests held.", read_in_flight)
-        add_gauge(self.metrics, "requests.queued", "1", "Requests that wait.", read_queued)
-        add_gauge(self.metrics, "servers.age", "s", "Age of the list of servers.", read_age)
-
-
-def _make_item(server_id: str, report: ServerReport, age_s: float) -> LoadReportItem:
-    return LoadReportItem(
-        server_id,
-        report.running,
-        report.waiting,
-        report.slots,
-        round(report.slowness * 100),
-        max(0, round(age_s * 1000)),
-    )
--- /dev/null
+++ b/src/jasmineseam/programs/node_metrics.py
@@ -0,0 +1,59 @@
+"""What a node counts and measures."""
+
+from __future__ import annotations
+
+import typing as t
+
+from opentelemetry.sdk.metrics import MeterProvider
+
+from ..operations.metrics import add_counter
+from ..operations.metrics import add_gauge
+from ..operations.metrics import add_histogram
+from ..operations.output import LineOutput
+
+if t.TYPE_CHECKING:
+    from .node import Node
+
+DURATION_BOUNDS_S = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
+
+
+def add_node_metrics(provider: MeterProvider, node: Node, output: LineOutput) -> None:
+    """Export a node's counters, gauges and its histogram of durations.
+
+    :param output: takes the node's log lines.
+    """
+
+    def read_outcomes():
+        return [(count, {"outcome": name}) for name, count in node.gateway.outcomes.items()]
+
+    def read_probes():
+        return [
+            (node.prober.sent, {"result": "sent"}),
+            (node.prober.failed, {"result": "failed"}),
+        ]
+
+    def read_lines():
+        return [(node.journal.dropped_total + output.dropped, {})]
+
+    def read_in_flight():
+        return [(node.gateway.in_flight, {})]
+
+    def read_queued():
+        return [(node.gateway.count_queued(), {})]
+
+    def read_opened():
+        return [(node.gateway.connections.opened, {})]
+
+    def read_age():
+        return [(node.registry.get_age_s(), {})]
+
+    node.gateway.record_duration = add_histogram(
+        provider, "request.duration", "s", "Time to the answer.", DURATION_BOUNDS_S
+    )
+    add_counter(provider, "requests", "1", "Requests, by outcome.", read_outcomes)
+    add_counter(provider, "probes", "1", "Probes of servers.", read_probes)
+    add_counter(provider, "log.dropped", "1", "Log lines left out.", read_lines)
+    add_counter(provider, "connections", "1", "Opened to servers.", read_opened)
+    add_gauge(provider, "requests.in_flight", "1", "Requests held.", read_in_flight)
+    add_gauge(provider, "requests.queued", "1", "Requests that wait.", read_queued)
+    add_gauge(provider, "servers.age", "s", "Age of the list of servers.", read_age)
--- a/src/jasmineseam/requests/proxied.py
+++ b/src/jasmineseam/requests/proxied.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing as t
+
 import msgspec
 
 from ..measuring.reports import ServerReport
@@ -35,3 +37,30 @@
     not_run: bool
     misdirected: bool
     report: ServerReport | None
+
+
+class Protocol(t.NamedTuple):
+    """How the heads of requests and responses are read and written.
+
+    :param decode_request: reads a caller's headers; raises :exc:`ValueError`.
+    :param encode_request: headers for a server: request id, seconds left, the server's id.
+    :param decode_response: reads a status and a server's headers.
+    :param own_headers: lower-case names of the headers that the node sets by itself.
+    """
+
+    decode_request: t.Callable[[t.Mapping[str, str]], RequestHead]
+    encode_request: t.Callable[[str, float, str], list[tuple[str, str]]]
+    decode_response: t.Callable[[int, t.Mapping[str, str]], ResponseHead]
+    own_headers: frozenset[str]
+
+
+class Answer(t.NamedTuple):
+    """A server's whole answer.
+
+    :param headers: a multi-dict, as received.
+    """
+
+    status: int
+    headers: t.Any
+    body: bytes
+    head: ResponseHead
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -388,7 +388,7 @@
         assert (await deployment.ask(first, "/safe/1"))[0] == 200
 
         def get_slowness():
-            found = second.gateway.find_load("i-1")
+            found = second.gateway.dispatchers.find_load("i-1")
             report = found and found[1].report
             return report.slowness if report else 0.0
 
@@ -545,9 +545,9 @@
             raise RuntimeError("a fault")
 
         if sent:
-            node.gateway.dispatchers["fit"].note_latency = fail
+            node.gateway.dispatchers.get("fit").note_latency = fail
         else:
-            node.gateway.dispatchers["fit"].get_usual_s = fail
+            node.gateway.dispatchers.get("fit").get_usual_s = fail
         got, headers, _ = await deployment.ask(node, "/safe/1", request_id="q-1")
         assert got == status
         assert ("Retry-After" in headers) == (not sent)
