Keep half of the slots for requests that can be in time; let late ones return later

Cause: in an overload, requests that were late already took the free slots of slow hosts and held them several times as long as usual.

Change: while all requests that come can be in time, late ones use at most half of the slots, in proportion to the share of timely ones otherwise. A late request that finds no room is told to return after a quarter of its time, at most 1 s. A target that even an idle server could not meet is stretched to 1.5 times the usual, so that such a route is not late from the start.

--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -59,6 +59,8 @@
 HEDGE_OVERDUE = 1.6
 # with less than this part of a request's usual time left, another attempt is of no use
 ATTEMPT_MIN_SHARE = 0.5
+# the least time that counts as a target, as a multiple of the usual
+LEAST_TARGET_FACTOR = 1.5
 _logger = logbook.Logger("gateway")
 
 
@@ -284,10 +286,12 @@
         raise NotRunError(reason, 503, retry_after_s)
 
     def _describe_want(self, ours: ProxiedRequest) -> Wanted:
+        # a target that no idle server could meet does not make a request late from the start
+        least_s = LEAST_TARGET_FACTOR * ours.usual_s - ours.tried_s
         return Wanted(
             priority=ours.route.priority,
             usual_s=ours.usual_s,
-            target_at=ours.target_at,
+            target_at=max(ours.target_at, ours.arrived_at + least_s),
             deadline_at=ours.deadline_at,
             excluded=ours.excluded,
         )
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -4,7 +4,8 @@
 request that would miss its target at every server with a free slot waits here, where it can still
 go to whichever server becomes fast or free first, but only while it can meet the target. After
 that it takes a slot that nobody who can still be in time has use for, or is refused at once if
-there is none. More urgent requests go first.
+there is none: a part of the slots is kept for requests that can be in time, as long as such
+requests come. More urgent requests go first.
 """
 
 from __future__ import annotations
@@ -21,6 +22,10 @@
 from .placement import choose
 
 RECHECK_S = 0.01
+# part of the slots that late requests leave free when all others can be in time
+RESERVED_SHARE = 0.5
+# weight of one request in the share of requests that could be in time when they came
+TIMELY_GAIN = 0.02
 # a waiting request leaves the queue early enough to run this many times the usual
 TARGET_RUN_FACTOR = 1.3
 # requests that may wait in a server's own queue, as a share of its slots
@@ -32,6 +37,8 @@
 DEFAULT_USUAL_S = 0.1
 RATE_WINDOW_S = 1.0
 NO_SERVER_RETRY_AFTER_S = 0.3
+# a late request that finds no room had better return after this part of the time that it has
+LATE_RETRY_SHARE = 0.25
 
 
 class Wanted(t.NamedTuple):
@@ -86,6 +93,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._finished: collections.deque[float] = collections.deque()
         self.requested_at = float("-inf")
+        self._timely_share = 1.0
 
     def count_queued(self) -> int:
         """Return how many requests wait."""
@@ -98,6 +106,8 @@
         """
         now = self._clock()
         self.requested_at = now
+        timely = self._can_be_in_time(wanted, now)
+        self._timely_share += TIMELY_GAIN * (timely - self._timely_share)
         if not self._has_waiters_in_time(now, wanted.priority):
             chosen = self._choose(wanted.excluded, now)
             load = self._judge(wanted, now, *chosen, contended=False)
@@ -242,13 +252,29 @@
             return None
         if now >= wanted.deadline_at:
             raise NotRunError("deadline", 503, MIN_RETRY_AFTER_S)
+        if self._has_reserve_only(now):
+            raise self._refuse_late(wanted, now)
         if best_free is not None:
             return best_free.load
         count = best.load.count_in_flight(now)
         has_room = count < best.load.slots * (1.0 + SERVER_QUEUE_SHARE)
         if has_room and not contended and now + best.factor * usual_s < wanted.deadline_at:
             return best.load
-        raise NotRunError("overloaded", 503, self._compute_retry_after_s())
+        raise self._refuse_late(wanted, now)
+
+    def _has_reserve_only(self, now: float) -> bool:
+        """Tell whether all slots are taken but those kept for requests that can be in time."""
+        taken = 0
+        slots = 0
+        for load in self.loads.values():
+            taken += load.count_in_flight(now)
+            slots += load.slots
+        return taken >= (1.0 - RESERVED_SHARE * self._timely_share) * slots
+
+    def _refuse_late(self, wanted: Wanted, now: float) -> NotRunError:
+        wait_s = max(self.estimate_wait_s(), LATE_RETRY_SHARE * (wanted.deadline_at - now))
+        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        return NotRunError("overloaded", 503, retry_after_s)
 
     def _check_room(self, wanted: Wanted, now: float) -> None:
         if len(self._waiters) >= MAX_QUEUED:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -622,3 +622,19 @@
         writer.close()
 
     play(scenario)
+
+
+def test_a_route_whose_target_no_server_can_meet_is_served_beside_others():
+    async def scenario(deployment):
+        never = build_route("/never/", **{"target-latency": "1ms"})
+        deployment.configure(routes=[*ROUTES, never])
+        node = await start(deployment, instances=("i-1",), configure=False)
+        for _ in range(20):
+            await deployment.ask(node, "/safe/1")
+        set_all(deployment, work_s=0.1)
+        others = asyncio.gather(*(deployment.ask(node, "/safe/1") for _ in range(3)))
+        await asyncio.sleep(0.03)
+        assert (await deployment.ask(node, "/never/1"))[0] == 200
+        assert {status for status, _, _ in await others} == {200}
+
+    play(scenario)
