--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 MINUTES ?= 2
 
-.PHONY: demo test lint format soak bench slopes lock clean
+.PHONY: demo demo-standalone test lint format soak bench slopes lock clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -15,6 +15,9 @@
 	touch $(STAMP)
 
 demo: $(STAMP)
+	$(BIN)/python -m bench.node_demo
+
+demo-standalone: $(STAMP)
 	$(BIN)/python -m bench.demo
 
 test: $(STAMP)
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -5,7 +5,6 @@
 import itertools
 import json
 import os
-import socket
 import time
 
 import aiohttp
@@ -21,6 +20,7 @@
 from jasmineseam.operations.settings import MetricSettings
 from jasmineseam.platform.program import make_node
 from standins.instance import StandInInstance
+from standins.settings import find_ports
 from standins.store import StandInStore
 
 HOST = "127.0.0.1"
@@ -38,15 +38,6 @@
     return f"127.{16 + pid % 200}.{pid // 200 % 250}.{next(_hosts) % 250 + 1}"
 
 
-def find_ports(host, count):
-    """Return ports that the kernel has free at an address."""
-    sockets = [socket.create_server((host, 0)) for _ in range(count)]
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 def build_route(prefix, service="fit", kind="safe", **more):
     """Return one route of a configuration."""
     return {
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -11,36 +11,13 @@
 import aiohttp
 import pytest
 
+from standins.settings import write_node_settings
 from tests.deployment import Deployment
 from tests.deployment import find_host
-from tests.deployment import find_ports
 from tests.deployment import play
 from tests.deployment import wait_until
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-SETTINGS = """
-[self]
-node-name = "vm-1"
-ip = "{host}"
-zone = "d1"
-[network]
-internal-ports = [{notices}, {notices}]
-[network.listen]
-front = "{host}:{entry}"
-ready = "{host}:{ready}"
-control = "{host}:{control}"
-directory = "{host}:{directory}"
-[platform.platform]
-address = "{store}"
-[terms.bounds]
-grace = "2s"
-retry-budget-ratio = 0.2
-budget-window = "10s"
-retry-budget-slack = 60
-ttl_max = "5s"
-probes-per-s = 60
-"""
-NAMES = ("notices", "entry", "ready", "control", "directory", "metrics")
 
 
 class Process:
@@ -62,9 +39,8 @@
 
 async def start_process(deployment: Deployment, folder: pathlib.Path) -> Process:
     host = find_host()
-    ports = dict(zip(NAMES, find_ports(host, len(NAMES)), strict=True))
     settings = folder / "boot.toml"
-    settings.write_text(SETTINGS.format(host=host, store=deployment.store_address, **ports))
+    ports = write_node_settings(settings, host=host, store=deployment.store_address)
     options = folder / "node.json"
     options.write_text(json.dumps({"metrics_port": ports["metrics"], "fatal_invariants": True}))
     process = await asyncio.create_subprocess_exec(
