Give the stand-in store conditions, producers with epochs, and ports that turn nodes away

Cause: the stand-in named the callers that it turns away by a header that no node sends, so the case was never played: a store that serves one node and refuses another. Each port of the stand-in is now one way to it, and a node is turned away by its port. The new test plays it in three ways (503, reset, silence); the nodes already did right: the one turned away gets table and servers from its peer within 1.9 s. Conditions and producers are there for parts that will write more than a node does now.

--- a/standins/store.py
+++ b/standins/store.py
@@ -12,13 +12,14 @@
 
 _PREFIX = struct.Struct("!I")
 _BOUNDS = struct.Struct("!QQ")
+REMEMBERED_ANSWERS = 5
 
 
 class StoreBehaviour(msgspec.Struct, kw_only=True):
     """How the store behaves at the moment.
 
     :param down: how calls fail: ``busy`` (503), ``reset`` or ``silent``; empty if they do not.
-    :param turned_away: names of the callers that fail so; empty for all of them.
+    :param turned_away: the store's own ports whose calls fail so; empty for all of them.
     :param delay_s: extra time of each answer.
     :param deaf: waiting calls are not told of new records, and end with their time.
     :param lost_writes: how many of the next writes are done but not answered.
@@ -26,21 +27,33 @@
     """
 
     down: str = ""
-    turned_away: list[str] = []
+    turned_away: list[int] = []
     delay_s: float = 0.0
     deaf: bool = False
     lost_writes: int = 0
     late_write_s: float = 0.0
 
 
+class _Producer:
+    """One writer's epoch, its last sequence number, and its last answers by sequence number."""
+
+    __slots__ = ("answers", "epoch", "sequence")
+
+    def __init__(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.sequence: int | None = None
+        self.answers: dict[int, dict[str, int]] = {}
+
+
 class _Topic:
-    __slots__ = ("changed", "first", "newest", "records")
+    __slots__ = ("changed", "first", "newest", "producers", "records")
 
     def __init__(self) -> None:
         # offset 0 is the first record ever; those before *first* are forgotten
         self.records: list[tuple[str, bytes]] = []
         self.first = 0
         self.newest: dict[str, int] = {}
+        self.producers: dict[str, _Producer] = {}
         self.changed = asyncio.Event()
 
     def append(self, key: str, value: bytes) -> int:
@@ -112,8 +125,10 @@
 
     async def _fail(self, request: web.BaseRequest) -> web.Response | None:
         behaviour = self.behaviour
-        name = request.headers.get("User-Agent", "")
-        if not behaviour.down or (behaviour.turned_away and name not in behaviour.turned_away):
+        if not behaviour.down:
+            return None
+        _, port = request.transport.get_extra_info("sockname")
+        if behaviour.turned_away and port not in behaviour.turned_away:
             return None
         if behaviour.down == "busy":
             return web.Response(status=503)
@@ -124,6 +139,9 @@
 
     async def _append(self, request: web.BaseRequest, topic: _Topic) -> web.Response:
         body = await request.read()
+        refused = self._check_condition(request, topic) or self._check_producer(request, topic)
+        if refused is not None:
+            return refused
         if self.behaviour.lost_writes > 0:
             self.behaviour.lost_writes -= 1
             loop = asyncio.get_running_loop()
@@ -131,8 +149,41 @@
             await asyncio.sleep(30.0)
         offset = self._apply(topic, body)
         document = {"offset": offset, "end": len(topic.records)}
+        producer = topic.producers.get(request.query.get("producer", ""))
+        if producer is not None and producer.sequence is not None:
+            producer.answers[producer.sequence] = document
+            for sequence in sorted(producer.answers)[:-REMEMBERED_ANSWERS]:
+                del producer.answers[sequence]
         return web.json_response(document)
 
+    def _check_condition(self, request: web.BaseRequest, topic: _Topic) -> web.Response | None:
+        end = len(topic.records)
+        if int(request.query.get("at", end)) == end:
+            return None
+        return web.json_response({"end": end}, status=412)
+
+    def _check_producer(self, request: web.BaseRequest, topic: _Topic) -> web.Response | None:
+        """Refuse a fenced writer and a gap, answer a repeat; ``None`` if the append is due."""
+        name = request.query.get("producer")
+        if name is None:
+            return None
+        epoch = int(request.query["epoch"])
+        sequence = request.query.get("sequence")
+        held = topic.producers.setdefault(name, _Producer(epoch))
+        if epoch < held.epoch:
+            return web.json_response({"why": "fenced"}, status=409)
+        if epoch > held.epoch:
+            held = topic.producers[name] = _Producer(epoch)
+        if sequence is None:
+            return None
+        number = int(sequence)
+        if number in held.answers:
+            return web.json_response(held.answers[number])
+        if held.sequence is not None and number != held.sequence + 1:
+            return web.json_response({"why": "seq", "sequence": held.sequence + 1}, status=409)
+        held.sequence = number
+        return None
+
     def _apply(self, topic: _Topic, body: bytes) -> int:
         offset = len(topic.records)
         position = 0
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -114,12 +114,7 @@
         self.session = None
 
     async def __aenter__(self):
-        server = web.Server(self.store.answer, handler_cancellation=True, access_log=None)
-        runner = web.ServerRunner(server, shutdown_timeout=0.05)
-        await runner.setup()
-        self._stack.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, HOST, 0).start()
-        self.store_address = f"{HOST}:{runner.addresses[0][1]}"
+        self.store_address = await self.open_store()
         # a request that is never answered fails its test
         timeout = aiohttp.ClientTimeout(total=10.0)
         self.session = aiohttp.ClientSession(timeout=timeout)
@@ -133,6 +128,15 @@
             await instance.stop()
         await self._stack.aclose()
 
+    async def open_store(self):
+        """Let the store listen on one more port; returns its address."""
+        server = web.Server(self.store.answer, handler_cancellation=True, access_log=None)
+        runner = web.ServerRunner(server, shutdown_timeout=0.05)
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, HOST, 0).start()
+        return f"{HOST}:{runner.addresses[0][1]}"
+
     def configure(self, version=1, routes=None, **more):
         """Write a configuration."""
         routes = ROUTES if routes is None else routes
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -638,3 +638,28 @@
         assert {status for status, _, _ in await others} == {200}
 
     play(scenario)
+
+
+@pytest.mark.parametrize("down", ["busy", "reset", "silent"])
+def test_a_node_that_the_store_turns_away_follows_its_peers(down):
+    async def scenario(deployment):
+        first = await start(deployment)
+        other_address = await deployment.open_store()
+        second = await deployment.add_node("vm-2", store_address=other_address)
+        await wait_until(lambda: len(second.mesh.list_live()) == 2, "the nodes know each other")
+        deployment.store.behaviour.turned_away = [int(other_address.rpartition(":")[2])]
+        deployment.store.behaviour.down = down
+        deployment.configure(version=7)
+        for node in (first, second):
+            await wait_until(lambda node=node: node.gateway.table.version == 7, "version 7", 1.9)
+        await deployment.add_instance("i-9")
+        deployment.store.remove("keyed.servers", "i-1")
+        for node in (first, second):
+            await wait_until(lambda node=node: has_servers(node, "i-2", "i-9"), "servers", 1.9)
+            assert (await deployment.ask(node, "/safe/1"))[0] == 200
+
+    play(scenario)
+
+
+def has_servers(node, *names):
+    return {listing.server.server_id for listing in node.registry.list_all()} == set(names)
