Let stand-in instances start cold

The case was not played on real nodes. The new test does: a node leaves a cold server alone while a warm one has slots free, and uses it beyond. The nodes already did right.

--- a/standins/instance.py
+++ b/standins/instance.py
@@ -15,6 +15,8 @@
 import msgspec
 
 _LINGER = struct.Struct("ii")
+# time that work takes on an instance that has just started, as a multiple of the usual
+COLD_FACTOR = 3.0
 
 
 class InstanceBehaviour(msgspec.Struct, kw_only=True):
@@ -44,10 +46,18 @@
 
     :param instance_id: its id.
     :param service: whose instance it is.
+    :param cold_s: for how long after its start its work takes longer, in seconds.
     """
 
     def __init__(
-        self, *, instance_id: str, service: str, slots: int = 4, queue: int = 8, size: int = 32
+        self,
+        *,
+        instance_id: str,
+        service: str,
+        slots: int = 4,
+        queue: int = 8,
+        size: int = 32,
+        cold_s: float = 0.0,
     ) -> None:
         self.instance_id = instance_id
         self.service = service
@@ -56,6 +66,7 @@
         self.size = size
         self.behaviour = InstanceBehaviour()
         self.address = ""
+        self.warm_at = time.monotonic() + cold_s
         self.running = 0
         self.waiting = 0
         # how often each request id was run, and those whose connection closed before the end
@@ -99,11 +110,14 @@
             "version": "v1",
             "slots": self.slots,
             "state": state,
-            "warmup-left": "0ms",
+            "warmup-left": f"{1000 * self._get_cold_s():.0f}ms",
             "sequence": self._sequence,
             "born": born,
         }
 
+    def _get_cold_s(self) -> float:
+        return max(0.0, self.warm_at - time.monotonic())
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         self._writers.add(writer)
@@ -176,7 +190,8 @@
         return await self._answer(writer, request_id)
 
     async def _work(self) -> None:
-        await asyncio.sleep(self.behaviour.work_s * self.behaviour.slowness_pct / 100)
+        factor = COLD_FACTOR if self._get_cold_s() > 0 else 1.0
+        await asyncio.sleep(factor * self.behaviour.work_s * self.behaviour.slowness_pct / 100)
 
     async def _answer(self, writer: asyncio.StreamWriter, request_id: str) -> bool:
         behaviour = self.behaviour
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -663,3 +663,19 @@
 
 def has_servers(node, *names):
     return {listing.server.server_id for listing in node.registry.list_all()} == set(names)
+
+
+def test_a_server_that_has_just_started_gets_work_only_when_the_others_are_taken():
+    async def scenario(deployment):
+        deployment.configure()
+        cold = await deployment.add_instance("i-cold", cold_s=60.0)
+        warm = await deployment.add_instance("i-warm")
+        node = await deployment.add_node("vm-1")
+        set_all(deployment, work_s=0.02)
+        for _ in range(20):
+            assert (await deployment.ask(node, "/safe/1"))[0] == 200
+        assert sum(warm.runs.values()) >= 19
+        await asyncio.gather(*(deployment.ask(node, "/safe/1") for _ in range(8)))
+        assert sum(cold.runs.values()) >= 2
+
+    play(scenario)
