Leave room for a node's own delays in the least target

Cause: a route whose target no server can meet counted as late as soon as the node's own loop stood still for a fifth of the usual time of its work, which is 1 ms for work of 5 ms, and was then refused with a slot free.

Change: a target counts as 0.15 s at least. The users' routes have targets of 0.18 s and more, so nothing changes for them. The test now holds the loop for 50 ms by itself and then fails before, every time.

--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -59,8 +59,9 @@
 HEDGE_OVERDUE = 1.6
 # with less than this part of a request's usual time left, another attempt is of no use
 ATTEMPT_MIN_SHARE = 0.5
-# the least time that counts as a target, as a multiple of the usual
+# the least time that counts as a target, as a multiple of the usual, and in seconds
 LEAST_TARGET_FACTOR = 1.5
+LEAST_TARGET_S = 0.15
 _logger = logbook.Logger("gateway")
 
 
@@ -287,7 +288,7 @@
 
     def _describe_want(self, ours: ProxiedRequest) -> Wanted:
         # a target that no idle server could meet does not make a request late from the start
-        least_s = LEAST_TARGET_FACTOR * ours.usual_s - ours.tried_s
+        least_s = max(LEAST_TARGET_S, LEAST_TARGET_FACTOR * ours.usual_s) - ours.tried_s
         return Wanted(
             priority=ours.route.priority,
             usual_s=ours.usual_s,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -624,7 +624,10 @@
     play(scenario)
 
 
-def test_a_route_whose_target_no_server_can_meet_is_served_beside_others():
+@pytest.mark.parametrize("delay_s", [0.0, 0.05])
+def test_a_route_whose_target_no_server_can_meet_is_served_beside_others(delay_s):
+    """The node may also be slow itself: its loop stands still before a request is placed."""
+
     async def scenario(deployment):
         never = build_route("/never/", **{"target-latency": "1ms"})
         deployment.configure(routes=[*ROUTES, never])
@@ -634,6 +637,14 @@
         set_all(deployment, work_s=0.1)
         others = asyncio.gather(*(deployment.ask(node, "/safe/1") for _ in range(3)))
         await asyncio.sleep(0.03)
+        dispatcher = node.gateway.dispatchers.get("fit")
+        get_usual_s = dispatcher.get_usual_s
+
+        def get_usual_slowly(kind):
+            time.sleep(delay_s if kind == "r/never/" else 0.0)
+            return get_usual_s(kind)
+
+        dispatcher.get_usual_s = get_usual_slowly
         assert (await deployment.ask(node, "/never/1"))[0] == 200
         assert {status for status, _, _ in await others} == {200}
 
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bench.virtual import play_virtually
 from jasmineseam.exceptions import NotRunError
 from jasmineseam.measuring.reports import ServerReport
 from jasmineseam.routing.patience import RENEW_EVERY
@@ -12,7 +13,6 @@
 from tests.test_dispatch import make_dispatcher
 from tests.test_dispatch import make_load
 from tests.test_dispatch import want
-from tests.virtual import play_virtually
 
 
 def teach(patience, chooser, count, longest_s):
