--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -5,9 +5,11 @@
 
 import pytest
 
+from bench.fleet import FleetSettings
+from bench.fleet import Noise
+from bench.lab import play
 from bench.virtual import play_virtually
 from jasmineseam.exceptions import NotRunError
-from jasmineseam.measuring.reports import ServerReport
 from jasmineseam.routing.patience import RENEW_EVERY
 from jasmineseam.routing.patience import RoutePatience
 from tests.test_dispatch import make_dispatcher
@@ -99,89 +101,26 @@
     assert in_time >= 0.8 * len(results["first"])
 
 
-class NoisyFleet:
-    """Eight servers whose hosts turn five times slower a third of the time, and their callers."""
-
-    work_s = 0.04
-    target_s = 0.15
-    deadline_s = 0.8
-
-    def __init__(self, loop, chooser):
-        self.loop = loop
-        self.chooser = chooser
-        self.loads = [make_load(f"s{index}", now=loop.time()) for index in range(8)]
-        self.slowness = {load.server_id: 1.0 for load in self.loads}
-        self.dispatcher = make_dispatcher(loop.time, *self.loads, usual_s=self.work_s)
-        self.patience = RoutePatience()
-        teach(self.patience, chooser, 64, self.deadline_s)
-        self.in_time = self.late = self.failed = 0
-
-    async def change_hosts(self):
-        while True:
-            for load in self.loads:
-                slow = 5.0 if self.chooser.random() < 0.35 else 1.0
-                self.slowness[load.server_id] = slow
-                load.note_report(
-                    ServerReport(running=0, waiting=0, slots=4, slowness=slow), self.loop.time()
-                )
-            self.dispatcher.pump()
-            await asyncio.sleep(0.06)
-
-    async def run(self, load):
-        token = load.begin(self.loop.time())
-        left_s = self.work_s
-        while left_s > 0:
-            step_s = min(left_s, 0.02)
-            await asyncio.sleep(step_s * self.slowness[load.server_id])
-            left_s -= step_s
-        load.end(token)
-        self.dispatcher.note_finished()
-
-    async def call(self):
-        began_at = self.loop.time()
-        until = began_at + self.deadline_s * self.chooser.uniform(0.85, 1.0)
-        for _ in range(3):
-            now = self.loop.time()
-            tried_s = self.patience.note(until - now)
-            wanted = want(
-                target_at=now + self.target_s - tried_s, deadline_at=until, usual_s=self.work_s
-            )
-            try:
-                load = await self.dispatcher.place(wanted)
-            except NotRunError as error:
-                await asyncio.sleep(min(error.retry_after_s, (until - self.loop.time()) / 3))
-                continue
-            await self.run(load)
-            if self.loop.time() - began_at < 1.1 * self.target_s:
-                self.in_time += 1
-            else:
-                self.late += 1
-            return
-        self.failed += 1
+OVERLOAD = FleetSettings(
+    servers=8,
+    nodes=3,
+    # twice what all slots can run on hosts of average slowness
+    requests_per_s=667,
+    work_s=0.04,
+    spread=0.0,
+    target_s=0.15,
+    deadline_s=0.8,
+    duration_s=6.0,
+    report_every_s=0.02,
+    # hosts change faster than news would travel here
+    news_delay_s=0.0,
+    noise=Noise(share=0.35, factor=5.0, every_s=0.06),
+)
 
 
 @pytest.mark.parametrize("seed", [11, 12, 13])
 def test_an_overload_leaves_most_callers_in_time(seed):
-    """Plays twice what all slots can run; late requests would hold what first attempts need."""
-
-    async def scenario():
-        loop = asyncio.get_running_loop()
-        chooser = random.Random(seed)
-        fleet = NoisyFleet(loop, chooser)
-        changing = asyncio.ensure_future(fleet.change_hosts())
-        # on hosts of average slowness
-        capacity_per_s = 32 / (fleet.work_s * 2.4)
-        calls = []
-        until = loop.time() + 6.0
-        while loop.time() < until:
-            await asyncio.sleep(0.005)
-            due = 2.0 * capacity_per_s * 0.005
-            count = int(due) + (chooser.random() < due % 1)
-            calls.extend(asyncio.ensure_future(fleet.call()) for _ in range(count))
-        await asyncio.gather(*calls)
-        changing.cancel()
-        return fleet, len(calls)
-
-    fleet, calls = play_virtually(scenario)
-    assert fleet.in_time >= 0.6 * calls
-    assert fleet.failed <= 0.23 * calls
+    """Late requests on slow hosts would hold the slots that first attempts need soon."""
+    tally = play(OVERLOAD, seed)
+    assert tally.in_time >= 0.7
+    assert tally.failed <= 0.2
