Let the demonstration's fault hit a request every time; write configurations in one place

All servers now break connections for 0.2 s, which orders can't avoid.

Besides, found by reading the diff once more: the demonstration and the tests wrote the operator's configuration each by themselves; standins/configuration.py now serves both. bench/fleet.py had a function that nothing called, and test_node opened connections to a node in two ways. Tests keep their assertions.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -327,10 +327,3 @@
             self._note_report(node, server)
             self._note_count(node, load.server_id)
             dispatcher.note_finished()
-
-
-def list_rates(settings: FleetSettings) -> dict[str, t.Any]:
-    """Return what the servers could run, in requests a second."""
-    slowness = 1.0 + settings.noise.share * (settings.noise.factor - 1.0)
-    usual = settings.servers * settings.slots / settings.work_s
-    return {"on usual hosts": usual, "on average hosts": usual / slowness}
--- a/bench/node_demo.py
+++ b/bench/node_demo.py
@@ -1,8 +1,8 @@
 """The demonstration: three nodes as processes on stand-ins of the users' platform.
 
 Callers send lookups and orders while a node is stopped in the planned way, one is killed, the
-routing table changes, and a server breaks connections. It ends with a table of what callers got
-and servers ran, and with the story of one failed request, told from the nodes' logs.
+routing table changes, and the servers break connections for a moment. It ends with a table of what
+callers got and servers ran, and with the story of one failed request, told from the nodes' logs.
 """
 
 from __future__ import annotations
@@ -28,6 +28,8 @@
 from jasmineseam.operations.stories import format_story
 from jasmineseam.operations.stories import read_lines
 from jasmineseam.operations.stories import tell_stories
+from standins.configuration import build_configuration
+from standins.configuration import build_route
 from standins.instance import InstanceBehaviour
 from standins.instance import StandInInstance
 from standins.settings import write_node_settings
@@ -46,17 +48,12 @@
 CHANGE_AT_S = 5.0
 KILL_AT_S = 6.0
 BREAK_AT_S = 9.0
-BREAK_FOR_S = 0.5
+BREAK_FOR_S = 0.2
+WORK_S = 0.03
 READY_TIMEOUT_S = 20.0
 GRACE_S = 4.0
 SERVICE = "fit"
 HOSTNAME = "fit.example"
-LIMITS = {
-    "max-header-bytes": 16_384,
-    "max-body-bytes": 1_000_000,
-    "header-timeout": "3000ms",
-    "idle-timeout": "15000ms",
-}
 
 
 class Sent(msgspec.Struct, kw_only=True):
@@ -143,7 +140,7 @@
         self.store_address = f"{HOST}:{runner.addresses[0][1]}"
         for index in range(INSTANCES):
             instance = StandInInstance(instance_id=f"i-{index}", service=SERVICE)
-            instance.behaviour = InstanceBehaviour(work_s=0.03)
+            instance.behaviour = InstanceBehaviour(work_s=WORK_S)
             await instance.start()
             self.instances.append(instance)
             self.store.put("keyed.servers", instance.instance_id, instance.describe())
@@ -158,27 +155,10 @@
         """Write a routing table."""
         routes = []
         for prefix in prefixes:
-            routes.append(
-                {
-                    "name": f"r{prefix}",
-                    "host": HOSTNAME,
-                    "path-prefix": prefix,
-                    "type": "unsafe" if prefix == "/order/" else "safe",
-                    "timeout": "1500ms",
-                    "target-latency": f"{TARGET_S * 1000:.0f}ms",
-                    "priority": 1,
-                    "service": SERVICE,
-                    "max-attempts": 2,
-                }
-            )
-        services = [{"name": SERVICE, "health-path": "/healthz", "max-conns": 260}]
-        table = {
-            "version": f"{version:08x}",
-            "routes": routes,
-            "services": services,
-            "limits": LIMITS,
-        }
-        self.store.put("keyed.op", "config", table)
+            kind = "unsafe" if prefix == "/order/" else "safe"
+            target = {"target-latency": f"{TARGET_S * 1000:.0f}ms"}
+            routes.append(build_route(prefix, SERVICE, kind, **target))
+        self.store.put("keyed.op", "config", build_configuration(version, routes, [SERVICE]))
 
     async def call_until(self, until: float) -> None:
         """Send requests one after the other, as one caller."""
@@ -232,7 +212,7 @@
         )
 
     async def disturb(self, began_at: float) -> None:
-        """Stop a node, change the table, kill a node, let a server break connections."""
+        """Stop a node, change the table, kill a node, let the servers break connections."""
         stopped, killed = self.nodes[1], self.nodes[2]
         await _sleep_until(began_at + STOP_AT_S)
         _say(f"{stopped.name} is stopped in the planned way")
@@ -247,10 +227,14 @@
         await killed.start()
         _say(f"{killed.name} is back")
         await _sleep_until(began_at + BREAK_AT_S)
-        _say(f"server {self.instances[0].instance_id} breaks connections")
-        self.instances[0].behaviour = InstanceBehaviour(work_s=0.03, fault="reset")
+        _say(f"all servers break connections for {BREAK_FOR_S:g} s")
+        self._set_fault("reset")
         await asyncio.sleep(BREAK_FOR_S)
-        self.instances[0].behaviour = InstanceBehaviour(work_s=0.03)
+        self._set_fault("")
+
+    def _set_fault(self, fault: str) -> None:
+        for instance in self.instances:
+            instance.behaviour = InstanceBehaviour(work_s=WORK_S, fault=fault)
 
     async def stop(self) -> None:
         """End all processes and stand-ins."""
--- /dev/null
+++ b/standins/configuration.py
@@ -0,0 +1,50 @@
+"""The configuration that the operator of the users' platform writes."""
+
+from __future__ import annotations
+
+import typing as t
+
+LIMITS = {
+    "max-header-bytes": 16384,
+    "max-body-bytes": 1_000_000,
+    "header-timeout": "3000ms",
+    "idle-timeout": "15000ms",
+}
+
+
+def build_route(
+    prefix: str, service: str = "fit", kind: str = "safe", **more: t.Any
+) -> dict[str, t.Any]:
+    """Return one route of a configuration.
+
+    :param more: fields of the route that differ.
+    """
+    return {
+        "name": f"r{prefix}",
+        "host": "fit.example",
+        "path-prefix": prefix,
+        "type": kind,
+        "timeout": "1500ms",
+        "target-latency": "500ms",
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2,
+        **more,
+    }
+
+
+def build_configuration(
+    version: int,
+    routes: list[dict[str, t.Any]],
+    services: t.Iterable[str] = ("fit", "other"),
+    limits: dict[str, t.Any] = LIMITS,
+) -> dict[str, t.Any]:
+    """Return a configuration as the operator writes it."""
+    return {
+        "version": f"{version:08x}",
+        "routes": routes,
+        "services": [
+            {"name": name, "health-path": "/healthz", "max-conns": 260} for name in services
+        ],
+        "limits": limits,
+    }
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -19,6 +19,8 @@
 from jasmineseam.operations.output import LineOutput
 from jasmineseam.operations.settings import MetricSettings
 from jasmineseam.platform.program import make_node
+from standins.configuration import build_configuration
+from standins.configuration import build_route
 from standins.instance import StandInInstance
 from standins.settings import find_ports
 from standins.store import StandInStore
@@ -38,42 +40,6 @@
     return f"127.{16 + pid % 200}.{pid // 200 % 250}.{next(_hosts) % 250 + 1}"
 
 
-def build_route(prefix, service="fit", kind="safe", **more):
-    """Return one route of a configuration."""
-    return {
-        "name": f"r{prefix}",
-        "host": "fit.example",
-        "path-prefix": prefix,
-        "type": kind,
-        "timeout": "1500ms",
-        "target-latency": "500ms",
-        "priority": 1,
-        "service": service,
-        "max-attempts": 2,
-        **more,
-    }
-
-
-LIMITS = {
-    "max-header-bytes": 16384,
-    "max-body-bytes": 1_000_000,
-    "header-timeout": "3000ms",
-    "idle-timeout": "15000ms",
-}
-
-
-def build_configuration(version, routes, services=("fit", "other"), limits=LIMITS):
-    """Return a configuration as the operator writes it."""
-    return {
-        "version": f"{version:08x}",
-        "routes": routes,
-        "services": [
-            {"name": name, "health-path": "/healthz", "max-conns": 260} for name in services
-        ],
-        "limits": limits,
-    }
-
-
 class KeptOutput(LineOutput):
     """Writes a node's lines, and keeps them decoded."""
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,10 +8,10 @@
 import msgspec
 import pytest
 
+from standins.configuration import build_route
 from standins.instance import InstanceBehaviour
 from tests.deployment import OPTIONS
 from tests.deployment import ROUTES
-from tests.deployment import build_route
 from tests.deployment import play
 from tests.deployment import wait_until
 
@@ -32,6 +32,11 @@
     return behaviour
 
 
+async def open_to(node):
+    host, _, port = node.settings.listeners.entry.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
 def test_a_request_reaches_a_server_as_it_was_sent():
     async def scenario(deployment):
         node = await start(deployment)
@@ -503,8 +508,7 @@
 
     async def scenario(deployment):
         node = await start(deployment)
-        host, _, port = node.settings.listeners.entry.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await open_to(node)
         server = node._entry_server
         await wait_until(lambda: server.connections, "the connection is accepted")
         (connection,) = server.connections
@@ -557,11 +561,6 @@
     play(scenario)
 
 
-async def open_to(node):
-    host, _, port = node.settings.listeners.entry.rpartition(":")
-    return await asyncio.open_connection(host, int(port))
-
-
 LIMITS = {
     "max-header-bytes": 600,
     "max-body-bytes": 100,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,8 +15,8 @@
 from jasmineseam.platform.settings import load_settings
 from jasmineseam.platform.settings import parse_settings
 from jasmineseam.platform.store import KeyedRecord
-from tests.deployment import build_configuration
-from tests.deployment import build_route
+from standins.configuration import build_configuration
+from standins.configuration import build_route
 
 SETTINGS = """
 [self]
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from standins.configuration import build_route
 from standins.instance import InstanceBehaviour
-from tests.deployment import build_route
 from tests.deployment import play
 
 ROUTES = [
