--- a/src/jasmineseam/exceptions.py
+++ b/src/jasmineseam/exceptions.py
@@ -66,6 +66,17 @@
         super().__init__(f"records before offset {first_offset} have been trimmed")
 
 
+class StoreRestoredError(PlatformError):
+    """The metadata store was restored from a backup since the requested position was read.
+
+    :param timeline: number of the store's current timeline.
+    """
+
+    def __init__(self, timeline: int) -> None:
+        self.timeline = timeline
+        super().__init__(f"the store was restored; its timeline is now {timeline}")
+
+
 class StoreUnavailableError(PlatformError):
     """The metadata store sent no valid response.
 
--- a/src/jasmineseam/membership/registry.py
+++ b/src/jasmineseam/membership/registry.py
@@ -1,4 +1,8 @@
-"""Registry of the backend servers listed in the metadata store, tolerant of store outages."""
+"""Registry of the backend servers listed in the metadata store.
+
+It tolerates outages of the store, and a restore of the store from a backup: a server that has left
+or is leaving is not used again because an older state of the list reappears.
+"""
 
 from __future__ import annotations
 
@@ -7,10 +11,15 @@
 import msgspec
 
 from .servers import Server
+from .store_position import UNKNOWN_POSITION
+from .store_position import StorePosition
 
 # after an outage of the store, servers whose listing has expired are kept for this time
 POST_OUTAGE_GRACE_S = 2.5
 MIN_OUTAGE_S = 1.0
+# A removed listing, or a report that a server is leaving, is remembered for this time, which is
+# longer than the age of any backup of the store.
+DEPARTURE_RETENTION_S = 300.0
 
 
 class ServerListing(msgspec.Struct, kw_only=True, frozen=True):
@@ -41,6 +50,25 @@
     listing: ServerListing | None = None
 
 
+class Departure(msgspec.Struct, kw_only=True, frozen=True):
+    """A server that is leaving, or whose listing was removed.
+
+    :param started_ms: Unix time of the server's start, in milliseconds.
+    :param sequence: sequence number of the removed listing; ``None`` if the server itself has
+        reported that it is leaving, so that no listing of this start counts any more.
+    """
+
+    server_id: str
+    started_ms: int
+    sequence: int | None = None
+
+    def covers(self, listing: ServerListing) -> bool:
+        """Return whether a listing of the server is not newer than its departure."""
+        if self.sequence is None:
+            return listing.started_ms <= self.started_ms
+        return (listing.started_ms, listing.sequence) <= (self.started_ms, self.sequence)
+
+
 class RegisteredServer:
     """A listed server, with the end of its warm-up and the time at which it is removed, if any.
 
@@ -77,6 +105,7 @@
         "_by_service",
         "_clock",
         "_confirmed_at",
+        "_departures",
         "_on_change",
         "_outage_ended_at",
         "_registered",
@@ -92,10 +121,12 @@
         self._by_service: dict[str, list[RegisteredServer]] = {}
         # start time and sequence number of the newest stale listing, by server id
         self._stale_versions: dict[str, tuple[int, int]] = {}
+        # removed listings and leaving servers with the time of their record, by server id
+        self._departures: dict[str, tuple[Departure, float]] = {}
         self._confirmed_at = clock()
         self._outage_ended_at = float("-inf")
         self.loaded = False
-        self.position = -1
+        self.position = UNKNOWN_POSITION
 
     def get_list_age_s(self) -> float:
         """Return the time since the list was last confirmed to be up to date, in seconds."""
@@ -114,11 +145,18 @@
             self._outage_ended_at = confirmed_at
         self._confirmed_at = confirmed_at
 
-    def replace_listings(self, listings: list[ServerListing], position: int) -> None:
-        """Replace the list by a complete one.
+    def replace_listings(self, listings: list[ServerListing], position: StorePosition) -> None:
+        """Replace the list by a complete one, unless the list already includes later changes.
+
+        The first list of a new timeline may lack servers that the store has not recorded again
+        yet, so they are kept for a grace period as after an outage.
 
-        :param position: offset in the store at which the subsequent changes start.
+        :param position: position in the store at which the subsequent changes start.
         """
+        if position < self.position:
+            return
+        if self.loaded and position.timeline > self.position.timeline:
+            self._outage_ended_at = self._clock()
         listed_ids = {listing.server.server_id for listing in listings}
         for server_id in list(self._registered):
             if server_id not in listed_ids:
@@ -129,12 +167,13 @@
         self.loaded = True
         self._rebuild_index()
 
-    def apply_changes(self, changes: list[ServerChange], position: int) -> None:
+    def apply_changes(self, changes: list[ServerChange], position: StorePosition) -> None:
         """Apply changes, unless the list already includes them.
 
-        :param position: offset in the store after the last of the changes.
+        :param position: position in the store after the last of the changes; changes of another
+            timeline than that of the list are ignored.
         """
-        if position <= self.position:
+        if position <= self.position or position.timeline != self.position.timeline:
             return
         changed = False
         for change in changes:
@@ -160,14 +199,45 @@
         )
         self._rebuild_index()
 
+    def add_departure(self, departure: Departure) -> bool:
+        """Record that a server is leaving or was removed; return whether this was new.
+
+        The server receives no new requests until it publishes a listing that is newer than its
+        departure.
+        """
+        known = self._departures.get(departure.server_id)
+        if known is not None and _get_departure_order(departure) <= _get_departure_order(known[0]):
+            return False
+        self._departures[departure.server_id] = (departure, self._clock())
+        registered = self._registered.get(departure.server_id)
+        if registered is not None and departure.covers(registered.listing):
+            self._rebuild_index()
+        return True
+
+    def list_departures(self, max_age_s: float = DEPARTURE_RETENTION_S) -> list[Departure]:
+        """Return the departures that were recorded within the last *max_age_s* seconds."""
+        oldest = self._clock() - max_age_s
+        return [
+            departure
+            for departure, recorded_at in self._departures.values()
+            if recorded_at >= oldest
+        ]
+
     def expire_servers(self) -> None:
-        """Drop the servers whose listing was removed and whose grace period is over."""
+        """Drop the servers whose listing was removed and whose grace period is over.
+
+        Departures are dropped after :data:`DEPARTURE_RETENTION_S`, unless the server is still
+        listed.
+        """
         now = self._clock()
         expired = False
+        for server_id, (_, recorded_at) in list(self._departures.items()):
+            if now - recorded_at > DEPARTURE_RETENTION_S and server_id not in self._registered:
+                del self._departures[server_id]
         for server_id, registered in list(self._registered.items()):
             if registered.removal_due_at is None or registered.removal_due_at > now:
                 continue
-            del self._registered[server_id]
+            self._delete_server(server_id, registered)
             expired = True
         if expired:
             self._rebuild_index()
@@ -193,6 +263,9 @@
         registered = self._registered.get(server_id)
         now = self._clock()
         if registered is None:
+            departed = self._departures.get(server_id)
+            if departed is not None and departed[0].covers(listing):
+                return False
             self._registered[server_id] = RegisteredServer(listing=listing, now=now)
             return True
         version = (registered.listing.started_ms, registered.listing.sequence)
@@ -220,15 +293,27 @@
             if registered.removal_due_at is None:
                 registered.removal_due_at = self._outage_ended_at + POST_OUTAGE_GRACE_S
             return False
+        self._delete_server(server_id, registered)
+        return True
+
+    def _delete_server(self, server_id: str, registered: RegisteredServer) -> None:
         del self._registered[server_id]
         self._stale_versions.pop(server_id, None)
-        return True
+        listing = registered.listing
+        self.add_departure(
+            Departure(
+                server_id=server_id, started_ms=listing.started_ms, sequence=listing.sequence
+            )
+        )
 
     def _rebuild_index(self) -> None:
         by_service: dict[str, list[RegisteredServer]] = {}
         for server_id, registered in self._registered.items():
             if registered.server.leaving:
                 continue
+            departed = self._departures.get(server_id)
+            if departed is not None and departed[0].covers(registered.listing):
+                continue
             stale_version = self._stale_versions.get(server_id)
             if stale_version is not None:
                 if (registered.listing.started_ms, registered.listing.sequence) <= stale_version:
@@ -237,3 +322,8 @@
             by_service.setdefault(registered.server.service, []).append(registered)
         self._by_service = by_service
         self._on_change()
+
+
+def _get_departure_order(departure: Departure) -> tuple[int, float]:
+    sequence = float("inf") if departure.sequence is None else departure.sequence
+    return departure.started_ms, sequence
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -12,10 +12,13 @@
 from ..catalogue.records import CatalogueSnapshot
 from ..catalogue.records import EntryState
 from ..exceptions import InvalidMessageError
+from ..membership.registry import Departure
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerListing
 from ..membership.servers import LeavingReport
 from ..membership.servers import Server
+from ..membership.store_position import UNKNOWN_POSITION
+from ..membership.store_position import StorePosition
 from ..membership.vms import EntryProcess
 from ..membership.vms import Succession
 from ..membership.vms import VmInfo
@@ -213,6 +216,8 @@
     :param table: routing table, set in a reply to a node with an older routing table.
     :param listings: server list, set in a reply to a node with an older server list.
     :param servers_position: store position from which changes of the server list are read.
+    :param departures: servers that have recently left or are leaving; all remembered ones if
+        *listings* is set.
     """
 
     vm: VmInfo
@@ -221,7 +226,14 @@
     servers_age_s: float = float("inf")
     table: RoutingTable | None = None
     listings: list[ServerListing] | None = None
-    servers_position: int = -1
+    servers_position: StorePosition = UNKNOWN_POSITION
+    departures: list[Departure] = []
+
+
+class DepartureNotice(Message, tag="departure"):
+    """Reports that a server is leaving, according to one of its own responses."""
+
+    departure: Departure
 
 
 class TableNotice(Message, tag="table"):
@@ -238,8 +250,8 @@
     :param age_s: time since the read began, in seconds.
     """
 
-    begin: int
-    end: int
+    begin: StorePosition
+    end: StorePosition
     age_s: float
     changes: list[ServerChange]
 
@@ -309,6 +321,7 @@
     | NodeGossip
     | TableNotice
     | ServersNotice
+    | DepartureNotice
     | LoadNotice
     | DumpRequest
     | DumpReply
--- a/src/jasmineseam/platform/headers.py
+++ b/src/jasmineseam/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import typing as t
 
@@ -17,10 +18,16 @@
 RESPONSE_SIGNATURE_HEADER = "Jasmineseam-Response-Signature"
 NOT_EXECUTED_HEADER = "Jasmineseam-Not-Executed"
 SERVER_ID_HEADER = "Jasmineseam-Instance-Id"
+# "1" in all responses of a server that is about to stop
+LEAVING_HEADER = "Server-Leaving"
+RETRY_AFTER_HEADER = "Retry-After"
+# A longer time is treated as an error of the server.
+MAX_RETRY_AFTER_S = 3600.0
 # comma-separated integers: running requests, waiting requests, slots and, optionally, the
 # current service time in percent of normal
 LOAD_REPORT_HEADER = "Jasmineseam-Instance-Load"
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 _LOAD_PATTERN = re.compile(
     r"^\s*(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})\s*(?:,\s*(\d{1,6})\s*)?$"
 )
@@ -64,9 +71,30 @@
         not_run=NOT_EXECUTED_HEADER in headers or status == MISDIRECTED_STATUS,
         misdirected=status == MISDIRECTED_STATUS,
         report=parse_load_report(headers.get(LOAD_REPORT_HEADER)),
+        leaving=headers.get(LEAVING_HEADER, "").strip() == "1",
+        retry_after_s=(
+            parse_retry_after(headers.get(RETRY_AFTER_HEADER, ""))
+            if status == UNAVAILABLE_STATUS
+            else 0.0
+        ),
     )
 
 
+def parse_retry_after(text: str) -> float:
+    """Parse a ``Retry-After`` header in seconds; return 0 if it is missing or malformed.
+
+    >>> parse_retry_after("1.5"), parse_retry_after("Fri, 04 Dec 2026 10:00:00 GMT")
+    (1.5, 0.0)
+    """
+    try:
+        retry_after_s = float(text)
+    except ValueError:
+        return 0.0
+    if not math.isfinite(retry_after_s) or not 0.0 <= retry_after_s <= MAX_RETRY_AFTER_S:
+        return 0.0
+    return retry_after_s
+
+
 def parse_load_report(text: str | None) -> DetailedLoadReport | None:
     """Parse a load report; return ``None`` if it is missing or malformed.
 
--- a/src/jasmineseam/platform/metadata_store.py
+++ b/src/jasmineseam/platform/metadata_store.py
@@ -8,6 +8,7 @@
 from ..exceptions import InvalidRecordError
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerListing
+from ..membership.store_position import StorePosition
 from ..programs.store_watcher import NodeRecord
 from ..programs.store_watcher import RoutingTableRead
 from .records import CONFIGURATION_KEY
@@ -43,21 +44,23 @@
         batch = await self._client.read_latest(CONFIGURATION_TOPIC)
         return RoutingTableRead(_find_routing_table(batch.records), batch.end)
 
-    async def wait_for_routing_table(self, position: int, wait_s: float) -> RoutingTableRead:
+    async def wait_for_routing_table(
+        self, position: StorePosition, wait_s: float
+    ) -> RoutingTableRead:
         """Wait for a routing table written at or after a position.
 
         The table is ``None`` if none was written within *wait_s*.
 
-        :param position: offset in the store's topic.
         :param wait_s: maximum time that the store waits for a new record, in seconds.
         :raises InvalidRecordError: if the record of the routing table is invalid.
-        :raises RecordsTrimmedError: if the store no longer holds the records at the position.
+        :raises RecordsTrimmedError: if the store doesn't hold the records at the position.
+        :raises StoreRestoredError: if the store was restored since the position was read.
         :raises StoreUnavailableError: if the call fails.
         """
         batch = await self._client.read_from(CONFIGURATION_TOPIC, position, wait_s)
         return RoutingTableRead(_find_routing_table(batch.records), batch.end)
 
-    async def read_servers(self) -> tuple[list[ServerListing], int]:
+    async def read_servers(self) -> tuple[list[ServerListing], StorePosition]:
         """Return the listings of all servers with a valid record and the next position to read."""
         batch = await self._client.read_latest(SERVERS_TOPIC)
         listings = []
@@ -68,8 +71,15 @@
                 self._log_invalid_record(record, error)
         return listings, batch.end
 
-    async def read_server_changes(self, position: int) -> tuple[list[ServerChange], int]:
-        """Return the changes at or after a position, and the next position to read."""
+    async def read_server_changes(
+        self, position: StorePosition
+    ) -> tuple[list[ServerChange], StorePosition]:
+        """Return the changes at or after a position, and the next position to read.
+
+        :raises RecordsTrimmedError: if the store doesn't hold the records at the position.
+        :raises StoreRestoredError: if the store was restored since the position was read.
+        :raises StoreUnavailableError: if the call fails.
+        """
         batch = await self._client.read_from(SERVERS_TOPIC, position)
         changes = []
         for record in batch.records:
@@ -79,9 +89,12 @@
             changes.append(change)
         return changes, batch.end
 
-    async def write_node(self, record: NodeRecord) -> None:
-        """Write a node's record under its id; no other node writes to this key."""
-        await self._client.append(NODES_TOPIC, record.vm_id, msgspec.json.encode(record))
+    async def write_node(self, record: NodeRecord) -> int:
+        """Write a node's record under its id; return the timeline of the store that holds it.
+
+        No other node writes to this key.
+        """
+        return await self._client.append(NODES_TOPIC, record.vm_id, msgspec.json.encode(record))
 
     async def read_nodes(self) -> list[NodeRecord]:
         """Return the records of all nodes, including nodes that no longer run."""
@@ -90,7 +103,7 @@
         for record in batch.records:
             try:
                 records.append(msgspec.json.decode(record.value, type=NodeRecord))
-            except msgspec.MsgspecError as error:
+            except (msgspec.MsgspecError, RecursionError) as error:
                 self._log_invalid_record(record, InvalidRecordError(record.key, str(error)))
         return records
 
--- a/src/jasmineseam/platform/records.py
+++ b/src/jasmineseam/platform/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import typing as t
 
 import msgspec
@@ -23,9 +24,12 @@
 SERVERS_TOPIC = "keyed.servers"
 NODES_TOPIC = "keyed.nodes"
 
+MAX_PORT = 65_535
+# Numbers are sent to other nodes as 64-bit integers.
+MAX_COUNT = 2**63 - 1
 Address = t.Annotated[str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
-Count = t.Annotated[int, msgspec.Meta(ge=0)]
-PositiveCount = t.Annotated[int, msgspec.Meta(ge=1)]
+Count = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+PositiveCount = t.Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 
 
 class _WeightedBackend(msgspec.Struct):
@@ -117,7 +121,7 @@
                 idle_timeout_s=parse_duration(limits.idle_timeout),
             ),
         )
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise InvalidRecordError(CONFIGURATION_KEY, str(error)) from error
 
 
@@ -129,7 +133,8 @@
     try:
         content = msgspec.json.decode(record.value, type=_ServerRecord)
         warmup_s = parse_duration(content.warmup_left)
-    except (msgspec.MsgspecError, ValueError) as error:
+        _check_address(content.address)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise InvalidRecordError(record.key, str(error)) from error
     server = Server(
         server_id=record.key,
@@ -160,6 +165,14 @@
         return ServerChange(server_id=record.key), error
 
 
+def _check_address(address: str) -> None:
+    """Raise :exc:`ValueError` if the IP address or the port is out of range."""
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"port {port} is out of range")
+
+
 def _convert_route(route: _Route) -> Route:
     services = [WeightedService(service=part.service, weight=part.weight) for part in route.parts]
     if not services:
--- a/src/jasmineseam/platform/store_client.py
+++ b/src/jasmineseam/platform/store_client.py
@@ -16,7 +16,9 @@
 import msgspec
 
 from ..exceptions import RecordsTrimmedError
+from ..exceptions import StoreRestoredError
 from ..exceptions import StoreUnavailableError
+from ..membership.store_position import StorePosition
 
 STORE_CALL_TIMEOUT_S = 1.5
 MAX_KB_PER_READ = 4096
@@ -24,6 +26,9 @@
 TCP_KEEPALIVE_INTERVAL_S = 1
 TCP_KEEPALIVE_PROBES = 2
 TCP_USER_TIMEOUT_MS = 2500
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# number of the store's timeline, in every response; each restore from a backup increments it
+TIMELINE_HEADER = "Store-Era"
 # length of a record in bytes, which precedes the record; the record consists of the length of its
 # key in one byte, the key and the value
 _LENGTH_PREFIX = struct.Struct("!I")
@@ -44,11 +49,11 @@
 class RecordBatch(msgspec.Struct, kw_only=True, frozen=True):
     """Consecutive records of a topic.
 
-    :param end: offset to continue reading from.
+    :param end: position to continue reading from.
     """
 
     records: list[KeyedRecord]
-    end: int
+    end: StorePosition
 
 
 class _LatestItem(msgspec.Struct):
@@ -67,9 +72,17 @@
     first: int = 0
 
 
+class _StoreResponse(t.NamedTuple):
+    body: bytes
+    timeline: int
+
+
 class StoreClient:
     """Calls the metadata store.
 
+    A response of an earlier timeline than the latest one seen describes a state that no longer
+    exists, so it counts as a failed call.
+
     :param address: address of the store, ``ip:port``.
     """
 
@@ -81,6 +94,8 @@
         )
         self.call_count = 0
         self.failed_call_count = 0
+        # latest timeline seen; 0 if the store sends no timelines
+        self.timeline = 0
 
     async def read_latest(self, topic: str) -> RecordBatch:
         """Return the latest record of each key.
@@ -88,36 +103,46 @@
         The pages are read one by one and are not a consistent snapshot. The batch's end offset is
         that of the first page, so that records appended while later pages are read are not missed.
 
+        :raises StoreRestoredError: if the store is restored between two pages.
         :raises StoreUnavailableError: if a call fails.
         """
         records: list[KeyedRecord] = []
         end = None
         params = {"topic": topic, "part": "0"}
         while True:
-            page = _decode(await self._call("GET", "log-newest", params), _LatestPage)
+            response = await self._call("GET", "log-newest", params)
+            page = _decode(response.body, _LatestPage)
             if end is None:
-                end = page.end
+                end = StorePosition(response.timeline, page.end)
+            if end.timeline != response.timeline:
+                raise StoreRestoredError(response.timeline)
             records.extend(_decode_item(item) for item in page.items)
             if not page.more or not page.items:
                 return RecordBatch(records=records, end=end)
             params["after"] = page.items[-1].key
 
-    async def read_from(self, topic: str, offset: int, wait_s: float = 0.0) -> RecordBatch:
-        """Return the records at and after an offset; the batch may be empty.
+    async def read_from(
+        self, topic: str, position: StorePosition, wait_s: float = 0.0
+    ) -> RecordBatch:
+        """Return the records at and after a position; the batch may be empty.
 
         :param wait_s: maximum time that the store waits for a new record (long polling), in
             seconds.
-        :raises RecordsTrimmedError: if the store no longer holds the records at the offset.
+        :raises RecordsTrimmedError: if the store doesn't hold the records at the offset.
+        :raises StoreRestoredError: if the store was restored since the position was read.
         :raises StoreUnavailableError: if the call fails.
         """
+        offset = position.offset
         params = {"topic": topic, "part": "0", "from": str(offset), "max-kb": str(MAX_KB_PER_READ)}
         if wait_s > 0:
             params["wait-ms"] = str(int(wait_s * 1000))
-        body = await self._call("GET", "log-read", params, wait_s=wait_s)
-        return _decode_records(body, offset)
+        response = await self._call("GET", "log-read", params, wait_s=wait_s)
+        if response.timeline != position.timeline:
+            raise StoreRestoredError(response.timeline)
+        return _decode_records(response.body, position)
 
-    async def append(self, topic: str, key: str, value: bytes) -> None:
-        """Append one record to a keyed topic.
+    async def append(self, topic: str, key: str, value: bytes) -> int:
+        """Append one record to a keyed topic; return the timeline that holds it.
 
         :raises StoreUnavailableError: if the call fails; the store may have appended the record,
             or may append it later.
@@ -125,7 +150,9 @@
         encoded_key = key.encode()
         body = bytes([len(encoded_key)]) + encoded_key + value
         data = _LENGTH_PREFIX.pack(len(body)) + body
-        await self._call("POST", "log-append", {"topic": topic, "part": "0"}, data=data)
+        params = {"topic": topic, "part": "0"}
+        response = await self._call("POST", "log-append", params, data=data)
+        return response.timeline
 
     async def close(self) -> None:
         """Close all connections."""
@@ -139,23 +166,45 @@
         *,
         data: bytes | None = None,
         wait_s: float = 0.0,
-    ) -> bytes:
+    ) -> _StoreResponse:
         timeout = aiohttp.ClientTimeout(total=STORE_CALL_TIMEOUT_S + wait_s)
         self.call_count += 1
         try:
             async with self._session.request(
                 method, f"{self._url}/{operation}", params=params, data=data, timeout=timeout
             ) as response:
-                body = await response.read()
+                body = await _read_body(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self.failed_call_count += 1
             raise StoreUnavailableError(operation, repr(error)) from error
+        timeline = _parse_timeline(response.headers.get(TIMELINE_HEADER), self.timeline)
+        if timeline < self.timeline:
+            self.failed_call_count += 1
+            raise StoreUnavailableError(
+                operation, f"response of timeline {timeline}, which {self.timeline} has replaced"
+            )
+        self.timeline = timeline
         if response.status == 410:
             raise RecordsTrimmedError(_decode(body, _TrimmedResponse).first)
         if response.status != 200:
             self.failed_call_count += 1
             raise StoreUnavailableError(operation, f"unexpected status {response.status}")
-        return body
+        return _StoreResponse(body, timeline)
+
+
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise aiohttp.ClientPayloadError(f"body exceeds {MAX_RESPONSE_BYTES} bytes")
+    return bytes(body)
+
+
+def _parse_timeline(text: str | None, default: int) -> int:
+    if text is None or not text.isascii() or not text.isdigit() or len(text) > 18:
+        return default
+    return int(text)
 
 
 def _open_socket(address_info: tuple) -> socket.socket:
@@ -174,7 +223,7 @@
 def _decode(body: bytes, response_type: type[t.Any]) -> t.Any:
     try:
         return msgspec.json.decode(body, type=response_type)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise StoreUnavailableError("answer", f"malformed JSON: {error}") from error
 
 
@@ -188,7 +237,7 @@
     return KeyedRecord(key=item.key, value=value)
 
 
-def _decode_records(body: bytes, offset: int) -> RecordBatch:
+def _decode_records(body: bytes, position: StorePosition) -> RecordBatch:
     try:
         end, _ = _OFFSET_HEADER.unpack_from(body)
         records = []
@@ -203,7 +252,8 @@
             records.append(_decode_keyed_record(content))
     except (struct.error, ValueError, IndexError) as error:
         raise StoreUnavailableError("answer", f"malformed records: {error}") from error
-    return RecordBatch(records=records, end=min(end, offset + len(records)))
+    end_offset = min(end, position.offset + len(records))
+    return RecordBatch(records=records, end=StorePosition(position.timeline, end_offset))
 
 
 def _decode_keyed_record(content: bytes) -> KeyedRecord:
--- a/src/jasmineseam/programs/dispatchers.py
+++ b/src/jasmineseam/programs/dispatchers.py
@@ -17,11 +17,22 @@
 
     :param failure_domain: the failure domain of this node.
     :param registry: the registered servers.
+    :param on_server_replaced: called with the address of a server that has restarted.
     """
 
-    def __init__(self, *, failure_domain: str, registry: ServerRegistry) -> None:
+    def __init__(
+        self,
+        *,
+        failure_domain: str,
+        registry: ServerRegistry,
+        on_server_replaced: t.Callable[[str], None] = lambda address: None,
+    ) -> None:
         self._failure_domain = failure_domain
         self._registry = registry
+        self._on_server_replaced = on_server_replaced
+        # end of the pause of each paused server, by its id and the Unix time of its start in
+        # milliseconds; kept while the server is not listed
+        self._paused_until: dict[tuple[str, int], float] = {}
         self._rng = random.Random()
         self._by_service: dict[str, Dispatcher] = {}
         # Number of nodes that send requests to the same servers.
@@ -60,6 +71,20 @@
                 return dispatcher, load
         return None
 
+    def pause_server(self, load: ServerLoad, until: float) -> None:
+        """Send a server no requests and no probes until a time.
+
+        :param until: monotonic time, in seconds; a later end that is already recorded stays.
+        """
+        now = time.monotonic()
+        self._paused_until = {
+            start: paused_until
+            for start, paused_until in self._paused_until.items()
+            if paused_until > now
+        }
+        load.paused_until = max(load.paused_until, until)
+        self._paused_until[load.server_id, load.started_ms] = load.paused_until
+
     def record_report(
         self,
         dispatcher: Dispatcher,
@@ -93,7 +118,10 @@
             # Load state is created for a new server, and replaced if the address or the start time
             # of the server has changed.
             new_or_moved = load is None or load.address != server.address
-            if new_or_moved or load.started_ms != registered.listing.started_ms:
+            started_ms = registered.listing.started_ms
+            if not new_or_moved and load.started_ms != started_ms:
+                self._on_server_replaced(server.address)
+            if new_or_moved or load.started_ms != started_ms:
                 load = ServerLoad(
                     server_id=server.server_id,
                     address=server.address,
@@ -101,7 +129,8 @@
                     slots=registered.listing.slots,
                     now=now,
                 )
-                load.started_ms = registered.listing.started_ms
+                load.started_ms = started_ms
+                load.paused_until = self._paused_until.get((server.server_id, started_ms), 0.0)
             load.warmup_ends_at = registered.warmup_ends_at
             loads[server.server_id] = load
         dispatcher.loads = loads
--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -20,6 +20,7 @@
 from ..operations.request_log import OUTCOME_ANSWERED
 from ..operations.request_log import RequestLog
 from ..requests.protocol import HeaderCodec
+from ..requests.protocol import ResponseHead
 from ..requests.protocol import ServerResponse
 from ..routing.caller_timeout import CallerTimeoutEstimator
 from ..routing.dispatch import PlacementRequest
@@ -80,6 +81,8 @@
     :param retry_limits: the limits on retries and hedges of each service, summed over all nodes.
     :param load_updates: collects load data for the other nodes.
     :param request_log: writes a line for each request, within its rate limit.
+    :param on_server_leaving: called with a server's id and the Unix time of its start in
+        milliseconds if a response reports that the server is leaving.
     :param caller_round_trip_s: network round trip between a caller and the node, in seconds.
     """
 
@@ -92,6 +95,7 @@
         retry_limits: RetryBudgetSettings,
         load_updates: LoadUpdateBuffer,
         request_log: RequestLog,
+        on_server_leaving: t.Callable[[str, int], None] = lambda server_id, started_ms: None,
         caller_round_trip_s: float = 0.0,
     ) -> None:
         self._caller_round_trip_s = caller_round_trip_s
@@ -102,13 +106,19 @@
         self._service_balancer = WeightedRoundRobin()
         self._timeout_estimators: dict[str, CallerTimeoutEstimator] = {}
         self._retry_budgets: dict[str, SlidingWindowRetryBudget] = {}
-        self.dispatchers = Dispatchers(failure_domain=failure_domain, registry=registry)
+        self.dispatchers = Dispatchers(
+            failure_domain=failure_domain,
+            registry=registry,
+            on_server_replaced=lambda address: self.connections.discard(address),
+        )
         self._server_client = ServerClient(
             header_codec=header_codec,
             registry=registry,
             load_updates=load_updates,
             record_report=self.dispatchers.record_report,
+            record_server_state=self.record_server_state,
         )
+        self._on_server_leaving = on_server_leaving
         # While set, each response closes its caller connection.
         self.draining = False
         self.in_flight = 0
@@ -131,6 +141,17 @@
         """Size limits and timeouts for callers' requests and connections."""
         return CallerLimits() if self._route_index is None else self._route_index.table.limits
 
+    def record_server_state(self, load: ServerLoad, head: ResponseHead) -> None:
+        """Act on what a response says of the server beyond its load.
+
+        A server that is leaving gets no new requests. One that has sent a retry time gets none
+        until that time is over.
+        """
+        if head.leaving:
+            self._on_server_leaving(load.server_id, load.started_ms)
+        if head.retry_after_s > 0.0:
+            self.dispatchers.pause_server(load, time.monotonic() + head.retry_after_s)
+
     def set_retry_limits(self, retry_limits: RetryBudgetSettings) -> None:
         """Change the retry limits; attempts counted in the current window are kept."""
         self._retry_limits = retry_limits
@@ -267,7 +288,7 @@
         except TimeoutError as error:
             if proxied.sent:
                 raise UnknownOutcomeError("timeout", 504) from error
-            retry_after_s = proxied.dispatcher.estimate_wait_s()
+            retry_after_s = proxied.dispatcher.estimate_retry_after_s()
             raise NotRunError("timeout-in-queue", 503, retry_after_s) from error
 
     async def _run_attempts(
@@ -335,8 +356,7 @@
         if isinstance(last_result, AttemptOutcomeUnknownError):
             raise UnknownOutcomeError(last_result.reason, 502)
         reason = "no-server" if last_result is None else last_result.reason
-        retry_after_s = max(0.05, proxied.dispatcher.estimate_wait_s())
-        raise NotRunError(reason, 503, retry_after_s)
+        raise NotRunError(reason, 503, proxied.dispatcher.estimate_retry_after_s())
 
     def _build_placement_request(self, proxied: ProxiedRequest) -> PlacementRequest:
         # Even an idle server cannot meet a latency target below these lower bounds. Without them,
--- a/src/jasmineseam/programs/load_prober.py
+++ b/src/jasmineseam/programs/load_prober.py
@@ -20,6 +20,7 @@
 from ..requests.protocol import ResponseHead
 from ..routing.dispatch import Dispatcher
 from ..routing.load import ServerLoad
+from ..transport.response_memory import ResponseMemory
 from .gateway import Gateway
 from .load_exchange import LoadUpdateBuffer
 
@@ -28,6 +29,8 @@
 PROBE_TIMEOUT_S = 0.5
 ASSIGNMENT_REFRESH_INTERVAL_S = 0.25
 MAX_PROBE_BODY_BYTES = 65_536
+# for the bodies of all probe responses that are being received
+MAX_PROBE_MEMORY_BYTES = 8 * 1024 * 1024
 # The servers of a service that received a request within this time are probed every
 # ``ProbeOptions.interval_s``, those of other services every ``ProbeOptions.idle_interval_s``.
 ACTIVE_SERVICE_WINDOW_S = 2.0
@@ -66,6 +69,7 @@
         self._own_vm_id = own_vm_id
         self.max_probes_per_s = max_probes_per_s
         self._list_prober_candidates = list_prober_candidates
+        self._response_memory = ResponseMemory(max_bytes=MAX_PROBE_MEMORY_BYTES)
         self._probe_intervals_s: dict[str, float] = {}
         self._assignments_refreshed_at = float("-inf")
         self._probe_tasks: dict[str, asyncio.Task] = {}
@@ -111,7 +115,7 @@
             interval_s = self._probe_intervals_s.get(load.server_id)
             if interval_s is None or load.server_id in self._probe_tasks:
                 continue
-            if now - load.last_probe_at < interval_s:
+            if now - load.last_probe_at < interval_s or now < load.paused_until:
                 continue
             if now - load.reported_at < FRESH_REPORT_FRACTION * interval_s:
                 continue
@@ -148,7 +152,9 @@
             exchange = await connection.receive_head(self._decode_probe_head)
             observed_at = time.monotonic()
             head = exchange.head
-            _, complete = await connection.read_body(exchange, MAX_PROBE_BODY_BYTES)
+            _, complete = await connection.read_body(
+                exchange, MAX_PROBE_BODY_BYTES, self._response_memory
+            )
         finally:
             if complete:
                 connections.release(load.address, connection)
@@ -156,6 +162,7 @@
                 connection.close()
         if head.server_id and head.server_id != load.server_id:
             return
+        self._gateway.record_server_state(load, head)
         if head.report is None:
             return
         if self._gateway.dispatchers.record_report(dispatcher, load, head.report, observed_at):
--- a/src/jasmineseam/programs/mesh.py
+++ b/src/jasmineseam/programs/mesh.py
@@ -9,7 +9,11 @@
 import logbook
 
 from ..exceptions import PeerError
+from ..membership.registry import DEPARTURE_RETENTION_S
+from ..membership.registry import Departure
 from ..membership.registry import ServerListing
+from ..membership.store_position import UNKNOWN_POSITION
+from ..membership.store_position import StorePosition
 from ..membership.vms import EntryVmMembership
 from ..membership.vms import VmInfo
 from ..peers.messages import Message
@@ -27,6 +31,8 @@
 # A peer receives the complete server list of this node if the peer's list is older by more than
 # this.
 MAX_SERVER_LIST_LAG_S = 1.5
+# Gossip repeats the departures of this time, for peers that missed the notice.
+DEPARTURE_GOSSIP_S = 10.0
 _logger = logbook.Logger("mesh")
 
 
@@ -40,6 +46,9 @@
     :param on_routing_table: called with a routing table from a peer and the VM id of the peer.
     :param on_server_list: called with a complete server list, its position in the store, and its
         age in seconds.
+    :param on_departures: called with servers that left or are leaving according to a peer.
+    :param list_departures: returns the servers that left or are leaving, given the maximum age of
+        the observation in seconds.
     """
 
     def __init__(
@@ -50,7 +59,9 @@
         own_address: str,
         get_own_vm_info: t.Callable[[], VmInfo],
         on_routing_table: t.Callable[[RoutingTable, str], None],
-        on_server_list: t.Callable[[list[ServerListing], int, float], None],
+        on_server_list: t.Callable[[list[ServerListing], StorePosition, float], None],
+        on_departures: t.Callable[[list[Departure]], None] = lambda departures: None,
+        list_departures: t.Callable[[float], list[Departure]] = lambda max_age_s: [],
     ) -> None:
         self._peer_clients = peer_clients
         self._notice_sender = notice_sender
@@ -58,6 +69,8 @@
         self._get_own_vm_info = get_own_vm_info
         self._on_routing_table = on_routing_table
         self._on_server_list = on_server_list
+        self._on_departures = on_departures
+        self._list_departures = list_departures
         self.membership = EntryVmMembership(
             clock=time.monotonic, heartbeat_timeout_s=PEER_HEARTBEAT_TIMEOUT_S
         )
@@ -69,7 +82,10 @@
         # and the server list with its position in the store. The node assigns these attributes.
         self.routing_table: RoutingTable | None = None
         self.get_server_list_age_s: t.Callable[[], float] = lambda: float("inf")
-        self.get_server_list: t.Callable[[], tuple[list[ServerListing], int]] = lambda: ([], -1)
+        self.get_server_list: t.Callable[[], tuple[list[ServerListing], StorePosition]] = lambda: (
+            [],
+            UNKNOWN_POSITION,
+        )
 
     def add_peer(self, address: str) -> None:
         """Start exchanging gossip with the node at an address."""
@@ -128,6 +144,7 @@
             reply.table = self.routing_table
         if message.servers_age_s > reply.servers_age_s + MAX_SERVER_LIST_LAG_S:
             reply.listings, reply.servers_position = self.get_server_list()
+            reply.departures = self._list_departures(DEPARTURE_RETENTION_S)
         return reply
 
     def remove_expired_peers(self) -> None:
@@ -166,12 +183,15 @@
             peers=self.list_peer_addresses(),
             table_version=-1 if self.routing_table is None else self.routing_table.version,
             servers_age_s=self.get_server_list_age_s(),
+            departures=self._list_departures(DEPARTURE_GOSSIP_S),
         )
 
     def _apply_membership(self, message: NodeGossip) -> None:
         known = {vm.vm_id for vm in self.membership.list_known()}
         if self.membership.record_heartbeat(message.vm) and message.vm.vm_id not in known:
             _logger.info("Discovered node {} at {}.", message.vm.vm_id, message.vm.agent_address)
+        if message.departures:
+            self._on_departures(message.departures)
         self.add_peer(message.vm.agent_address)
         for address in message.peers:
             self.add_peer(address)
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import time
 import typing as t
@@ -14,10 +15,13 @@
 import msgspec
 from aiohttp import web
 
+from ..exceptions import InvariantError
 from ..exceptions import SettingsError
 from ..measuring.probe_assignment import ProberCandidate
+from ..membership.registry import Departure
 from ..membership.registry import ServerListing
 from ..membership.registry import ServerRegistry
+from ..membership.store_position import StorePosition
 from ..membership.vms import EntryProcess
 from ..membership.vms import VmInfo
 from ..operations.daemon import Daemon
@@ -25,6 +29,7 @@
 from ..operations.node_settings import NodeSettings
 from ..operations.output import LineOutput
 from ..operations.request_log import RequestLog
+from ..peers.messages import DepartureNotice
 from ..peers.messages import LoadNotice
 from ..peers.messages import Message
 from ..peers.messages import NodeGossip
@@ -59,6 +64,7 @@
 }
 LISTEN_BACKLOG = 1024
 DRAIN_POLL_INTERVAL_S = 0.02
+TASK_RESTART_DELAY_S = 0.5
 # After the stop signal, new connections of callers are accepted until this fraction of the grace
 # period has passed, which gives callers time to switch to other nodes.
 LISTENING_GRACE_FRACTION = 0.45
@@ -109,6 +115,8 @@
         self._output = output
         self._reload_settings = reload_settings
         self._leaving = False
+        # restarts of background tasks after unexpected errors, by name of the task
+        self.task_restarts: collections.Counter[str] = collections.Counter()
         self._runners: list[web.ServerRunner] = []
         self._caller_server: CallerServer | None = None
         self.registry = ServerRegistry(
@@ -123,6 +131,7 @@
             retry_limits=settings.retries,
             load_updates=self.load_updates,
             request_log=self.request_log,
+            on_server_leaving=self._report_departure,
             caller_round_trip_s=options.caller_round_trip_s,
         )
         self._notice_sender = NoticeSender(context=self.zmq_context)
@@ -134,6 +143,8 @@
             get_own_vm_info=self._build_vm_info,
             on_routing_table=self._apply_routing_table,
             on_server_list=self._apply_server_list,
+            on_departures=self._apply_departures,
+            list_departures=self.registry.list_departures,
         )
         self.load_exchange = LoadExchange(
             vm_id=settings.vm.id,
@@ -182,16 +193,16 @@
         )
         for address in self.settings.seed_peers:
             self.mesh.add_peer(address)
-        for task in (
-            self.store_watcher.watch_routing_table(),
-            self.store_watcher.watch_servers(),
-            self.store_watcher.watch_nodes(lambda: len(self.mesh.membership.list_known()) > 0),
-            self.prober.probe_forever(),
-            self.load_exchange.broadcast_forever(),
-            self._run_maintenance_forever(),
-            self._output.flush_periodically(),
+        for run_forever in (
+            self.store_watcher.watch_routing_table,
+            self.store_watcher.watch_servers,
+            self._watch_nodes,
+            self.prober.probe_forever,
+            self.load_exchange.broadcast_forever,
+            self._run_maintenance_forever,
+            self._output.flush_periodically,
         ):
-            self.add_future(task)
+            self.add_future(self._run_supervised(run_forever))
         self._notice_receiver.start()
         await self._start_listeners()
         add_node_metrics(self.meter_provider, self, self._output)
@@ -229,6 +240,8 @@
             self.load_exchange.apply_notice(message)
         elif isinstance(message, ServersNotice):
             self.store_watcher.apply_notice(message)
+        elif isinstance(message, DepartureNotice):
+            self._apply_departures([message.departure])
         elif isinstance(message, TableNotice):
             self._apply_routing_table(message.table, "peer")
 
@@ -282,6 +295,7 @@
             "servers": self.registry.count_usable(),
             "servers_age_s": round(self.registry.get_list_age_s(), 3),
             "in_flight": self.gateway.in_flight,
+            "task_restarts": dict(self.task_restarts),
             "outcomes": dict(self.gateway.outcome_counts),
             "nodes": {
                 vm.vm_id: round(self.mesh.membership.get_heartbeat_age_s(vm.vm_id), 3)
@@ -360,8 +374,21 @@
             )
         return applied
 
+    def _report_departure(self, server_id: str, started_ms: int) -> None:
+        """Record and broadcast that a server has reported its departure in a response."""
+        departure = Departure(server_id=server_id, started_ms=started_ms)
+        if self.registry.add_departure(departure):
+            self.logger.info(
+                "Server {} reports that it is leaving; it gets no new requests.", server_id
+            )
+            self.mesh.broadcast_notice(DepartureNotice(departure=departure))
+
+    def _apply_departures(self, departures: list[Departure]) -> None:
+        for departure in departures:
+            self.registry.add_departure(departure)
+
     def _apply_server_list(
-        self, listings: list[ServerListing], position: int, age_s: float
+        self, listings: list[ServerListing], position: StorePosition, age_s: float
     ) -> None:
         if age_s > self._get_server_list_age_s() or position < self.registry.position:
             return
@@ -373,6 +400,28 @@
             age_s,
         )
 
+    async def _run_supervised(self, run_forever: t.Callable[[], t.Awaitable[None]]) -> None:
+        """Run a background task, and start it again after an unexpected error.
+
+        Without this, the error would end the process.
+        """
+        while True:
+            try:
+                await run_forever()
+            except InvariantError:
+                raise
+            except Exception:
+                self.task_restarts[run_forever.__name__] += 1
+                self.logger.exception(
+                    "Background task {} failed; starting it again in {:g} s.",
+                    run_forever.__name__,
+                    TASK_RESTART_DELAY_S,
+                )
+            await asyncio.sleep(TASK_RESTART_DELAY_S)
+
+    async def _watch_nodes(self) -> None:
+        await self.store_watcher.watch_nodes(lambda: len(self.mesh.membership.list_known()) > 0)
+
     async def _run_maintenance_forever(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
--- a/src/jasmineseam/programs/server_client.py
+++ b/src/jasmineseam/programs/server_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import typing as t
 
@@ -17,11 +18,14 @@
 from ..requests.protocol import ServerResponse
 from ..routing.load import ServerLoad
 from ..transport.connection_pool import ConnectionPool
+from ..transport.response_memory import ResponseMemory
 from ..transport.server_connection import ServerConnection
 from .load_exchange import LoadUpdateBuffer
 from .proxied_request import ProxiedRequest
 
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# for the bodies of all responses that are being received
+MAX_BUFFERED_BYTES = 96 * 1024 * 1024
 # Non-idempotent requests are not sent over a pooled connection that was idle for longer than
 # this: the server may be closing it, and a request lost that way must not be retried.
 NON_IDEMPOTENT_MAX_IDLE_S = 4.0
@@ -29,6 +33,7 @@
 # node before the deadline.
 RESPONSE_MARGIN_S = 0.005
 MIN_SERVER_ERROR_STATUS = 500
+UNAVAILABLE_STATUS = 503
 
 
 class ServerClient:
@@ -39,6 +44,8 @@
         reaches another server.
     :param load_updates: collects load data for the other nodes.
     :param record_report: stores a load report; returns whether it is newer than the stored one.
+    :param record_server_state: called with the load state of a server and the head of its
+        response.
     """
 
     def __init__(
@@ -48,11 +55,14 @@
         registry: ServerRegistry,
         load_updates: LoadUpdateBuffer,
         record_report: t.Callable[..., bool],
+        record_server_state: t.Callable[[ServerLoad, ResponseHead], None],
     ) -> None:
         self._header_codec = header_codec
         self._registry = registry
         self._load_updates = load_updates
         self._record_report = record_report
+        self._record_server_state = record_server_state
+        self._response_memory = ResponseMemory(max_bytes=MAX_BUFFERED_BYTES)
         self.connections = ConnectionPool()
 
     async def send_attempt(self, proxied: ProxiedRequest, load: ServerLoad) -> ServerResponse:
@@ -85,6 +95,10 @@
             result = error.reason
             self._record_failure(load, error)
             raise
+        except asyncio.CancelledError:
+            if time.monotonic() >= proxied.deadline_at:
+                result = "deadline"
+            raise
         finally:
             load.finish_request(in_flight_token)
             self._load_updates.record_in_flight(load.server_id, len(load.request_start_times))
@@ -114,7 +128,11 @@
             raise AttemptNotRunError("misdirected")
         if head.not_run:
             raise AttemptNotRunError("shed")
-        if not head.signed and response.status < MIN_SERVER_ERROR_STATUS:
+        # An unsigned 503 does not come from the server, so it is no guarantee that the request has
+        # not run.
+        if not head.signed and (
+            response.status < MIN_SERVER_ERROR_STATUS or response.status == UNAVAILABLE_STATUS
+        ):
             raise AttemptOutcomeUnknownError("response-unsigned")
         return response
 
@@ -144,7 +162,11 @@
             proxied.dispatcher, load, report, observed_at
         ):
             self._load_updates.record_report(load.server_id, report, observed_at)
-        body, complete = await connection.read_body(exchange, MAX_RESPONSE_BYTES)
+        if not head.misdirected:
+            self._record_server_state(load, head)
+        body, complete = await connection.read_body(
+            exchange, MAX_RESPONSE_BYTES, self._response_memory
+        )
         if not complete:
             raise AttemptOutcomeUnknownError("response-too-large")
         return ServerResponse(exchange.status, exchange.headers, body, head)
--- a/src/jasmineseam/programs/store_watcher.py
+++ b/src/jasmineseam/programs/store_watcher.py
@@ -6,11 +6,15 @@
 node among the live nodes; the broadcast of the first reader resets the age at the other nodes. The
 reader also reads the latest routing table periodically, since a failing store may leave a long
 poll unanswered until it times out.
+
+A restore of the store from a backup starts a new timeline. Positions of the earlier timeline are
+then discarded, and the record of this node is written again.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 import typing as t
 
@@ -20,9 +24,12 @@
 from ..exceptions import InvalidRecordError
 from ..exceptions import PlatformError
 from ..exceptions import RecordsTrimmedError
+from ..exceptions import StoreRestoredError
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerListing
 from ..membership.registry import ServerRegistry
+from ..membership.store_position import UNKNOWN_POSITION
+from ..membership.store_position import StorePosition
 from ..peers.messages import Message
 from ..peers.messages import ServersNotice
 from ..peers.messages import TableNotice
@@ -60,7 +67,7 @@
     """
 
     table: RoutingTable | None
-    position: int
+    position: StorePosition
 
 
 class MetadataStoreProtocol(t.Protocol):
@@ -69,17 +76,21 @@
     async def read_routing_table(self) -> RoutingTableRead:
         """Return the latest routing table."""
 
-    async def wait_for_routing_table(self, position: int, wait_s: float) -> RoutingTableRead:
+    async def wait_for_routing_table(
+        self, position: StorePosition, wait_s: float
+    ) -> RoutingTableRead:
         """Wait up to *wait_s* seconds for a routing table at *position* or later."""
 
-    async def read_servers(self) -> tuple[list[ServerListing], int]:
+    async def read_servers(self) -> tuple[list[ServerListing], StorePosition]:
         """Return all servers and the position at which subsequent changes start."""
 
-    async def read_server_changes(self, position: int) -> tuple[list[ServerChange], int]:
+    async def read_server_changes(
+        self, position: StorePosition
+    ) -> tuple[list[ServerChange], StorePosition]:
         """Return the changes at *position* or later, and the position after them."""
 
-    async def write_node(self, record: NodeRecord) -> None:
-        """Write the record of a node."""
+    async def write_node(self, record: NodeRecord) -> int:
+        """Write the record of a node; return the timeline of the store that holds it."""
 
     async def read_nodes(self) -> list[NodeRecord]:
         """Return the records of all nodes, including those that have left."""
@@ -146,6 +157,10 @@
         self._add_peer = add_peer
         self._own_record = own_record
         self._routing_table_read_at = float("-inf")
+        # latest timeline of the store that this node has seen
+        self._timeline = -1
+        self._timeline_changed = asyncio.Event()
+        self._read_all_servers_next = False
 
     async def watch_routing_table(self) -> None:
         """Apply and broadcast new routing tables until cancelled."""
@@ -171,6 +186,10 @@
             except RecordsTrimmedError:
                 position = None
                 continue
+            except StoreRestoredError as error:
+                self._record_timeline(error.timeline)
+                position = None
+                continue
             except PlatformError as error:
                 self._log_failure("routing table", error, backoff)
                 position = None
@@ -178,9 +197,10 @@
                 continue
             self._log_recovery("routing table", backoff)
             position = read.position
+            self._record_timeline(position.timeline)
             self._routing_table_read_at = time.monotonic()
             self._apply_routing_table(read)
-            if read.table is None and position == 0:
+            if read.table is None and position.offset == 0:
                 # The store holds no routing table yet and may reject a long poll at position 0.
                 await asyncio.sleep(INITIAL_BACKOFF_S)
 
@@ -199,7 +219,11 @@
                 await self._read_servers()
                 await self._check_routing_table()
             except RecordsTrimmedError:
-                self._registry.position = -1
+                self._read_all_servers_next = True
+                continue
+            except StoreRestoredError as error:
+                self._record_timeline(error.timeline)
+                continue
             except InvalidRecordError as error:
                 _logger.error(
                     "Ignoring an invalid routing table in the store; reading it again with the "
@@ -217,13 +241,14 @@
 
         :param has_peers: returns whether peers are known; until then the store is read more often.
         """
-        registered = False
+        written_timeline = -1
         backoff = Backoff()
         while True:
+            self._timeline_changed.clear()
             try:
-                if not registered:
-                    await self._store.write_node(self._own_record)
-                    registered = True
+                if written_timeline < 0 or written_timeline < self._timeline:
+                    written_timeline = await self._store.write_node(self._own_record)
+                    self._record_timeline(written_timeline)
                 for record in await self._store.read_nodes():
                     self._add_peer(record.peer_address)
             except PlatformError as error:
@@ -231,20 +256,44 @@
                 await asyncio.sleep(backoff.record_failure())
                 continue
             self._log_recovery("nodes", backoff)
-            await asyncio.sleep(
+            interval_s = (
                 NODE_LIST_READ_INTERVAL_S
                 if has_peers()
                 else NODE_LIST_READ_INTERVAL_WITHOUT_PEERS_S
             )
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(interval_s):
+                    await self._timeline_changed.wait()
+
+    def _record_timeline(self, timeline: int) -> None:
+        if timeline <= self._timeline:
+            return
+        if self._timeline >= 0:
+            _logger.warning(
+                "The store was restored from a backup; reading it again as of timeline {}.",
+                timeline,
+            )
+            self._timeline_changed.set()
+        self._timeline = timeline
 
     async def _read_servers(self) -> None:
         started_at = time.monotonic()
         begin = self._registry.position
-        if begin < 0:
+        restored = begin.timeline < self._timeline
+        if begin == UNKNOWN_POSITION or restored or self._read_all_servers_next:
             listings, end = await self._store.read_servers()
+            self._record_timeline(end.timeline)
+            self._read_all_servers_next = False
+            if end < self._registry.position:
+                return
             self._registry.mark_confirmed(time.monotonic() - started_at)
             self._registry.replace_listings(listings, end)
-            _logger.info("Read {} servers from the store, up to position {}.", len(listings), end)
+            _logger.info(
+                "Read {} servers from the store, up to offset {} of timeline {}.",
+                len(listings),
+                end.offset,
+                end.timeline,
+            )
             return
         changes, end = await self._store.read_server_changes(begin)
         age_s = time.monotonic() - started_at
@@ -258,6 +307,7 @@
         if now - self._routing_table_read_at < ROUTING_TABLE_CHECK_INTERVAL_S:
             return
         read = await self._store.read_routing_table()
+        self._record_timeline(read.position.timeline)
         self._routing_table_read_at = now
         self._apply_routing_table(read)
 
@@ -268,7 +318,8 @@
     def apply_notice(self, notice: ServersNotice) -> None:
         """Apply server changes read by a peer, unless this node lacks earlier changes."""
         position = self._registry.position
-        if position < notice.begin:
+        if position < notice.begin or position.timeline != notice.end.timeline:
+            self._record_timeline(notice.end.timeline)
             return
         self._registry.mark_confirmed(notice.age_s)
         # The registry ignores listings that are older than the stored ones, so overlapping changes
--- a/src/jasmineseam/requests/protocol.py
+++ b/src/jasmineseam/requests/protocol.py
@@ -31,6 +31,9 @@
     :param not_run: whether the server guarantees that it has not run the request.
     :param misdirected: whether the request reached another server than the intended one.
     :param report: load report of the server, ``None`` if not sent.
+    :param leaving: whether the responding server is about to stop.
+    :param retry_after_s: time for which the server wants no further requests from this node, in
+        seconds.
     """
 
     request_id: str
@@ -39,6 +42,8 @@
     not_run: bool
     misdirected: bool
     report: DetailedLoadReport | None
+    leaving: bool = False
+    retry_after_s: float = 0.0
 
 
 class HeaderCodec(t.NamedTuple):
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -221,6 +221,18 @@
         completions_per_s = len(self._completion_times) / COMPLETION_RATE_WINDOW_S
         return len(self._queue) / max(1.0, completions_per_s, self._estimate_capacity_per_s())
 
+    def estimate_retry_after_s(self) -> float:
+        """Return the time after which a refused request can be placed, in seconds.
+
+        This is the expected wait in the queue, or the time until the first server that is ejected
+        or has sent a retry time may be used.
+        """
+        if not self.loads:
+            return NO_SERVER_RETRY_AFTER_S
+        now = self._clock()
+        available_in_s = min(load.get_available_at() for load in self.loads.values()) - now
+        return max(MIN_RETRY_AFTER_S, self.estimate_wait_s(), available_in_s)
+
     def _estimate_capacity_per_s(self) -> float:
         """Return this node's equal share of the servers' capacity, in requests per second."""
         slots = sum(load.slots for load in self.loads.values())
@@ -285,7 +297,7 @@
         :raises NotRunError: if the request should be rejected.
         """
         if best is None:
-            raise NotRunError("no-server", 503, NO_SERVER_RETRY_AFTER_S)
+            raise NotRunError("no-server", 503, self.estimate_retry_after_s())
         service_time_s = request.service_time_s
         if (
             best_free is not None
--- a/src/jasmineseam/routing/load.py
+++ b/src/jasmineseam/routing/load.py
@@ -36,6 +36,7 @@
         "ejected_until",
         "failure_domain",
         "last_probe_at",
+        "paused_until",
         "report",
         "reported_at",
         "request_start_times",
@@ -65,6 +66,8 @@
         self._failure_rate = 0.0
         self._failure_rate_at = now
         self.ejected_until = 0.0
+        # the server has asked for no requests until this time
+        self.paused_until = 0.0
         # reset by a successful attempt
         self._consecutive_ejections = 0
 
@@ -138,6 +141,10 @@
         self._consecutive_ejections += 1
         self.ejected_until = now + ejection_s
 
+    def get_available_at(self) -> float:
+        """Return the time from which the server may receive requests."""
+        return max(self.ejected_until, self.paused_until)
+
     def get_failure_rate(self, now: float) -> float:
         """Return the fraction of recent attempts that failed; it decays over time."""
         if self._failure_rate < 0.01:
--- a/src/jasmineseam/routing/placement.py
+++ b/src/jasmineseam/routing/placement.py
@@ -142,7 +142,7 @@
     """
     best_free = best = None
     for load in loads:
-        if now < load.ejected_until:
+        if now < load.get_available_at():
             continue
         candidate = estimate_server(load, now, average_slowness, service_time_s, failure_domain)
         factor = candidate.latency_factor * (1.0 + TIE_BREAK_JITTER_FRACTION * rng.random())
--- a/src/jasmineseam/transport/caller_connections.py
+++ b/src/jasmineseam/transport/caller_connections.py
@@ -15,6 +15,13 @@
 # A response is assumed to be written to the socket within this time. It is the default minimum
 # idle time of CallerServer.close_idle_connections, so that no response is cut off.
 RESPONSE_FLUSH_TIME_S = 0.1
+# Larger than every configured limit of a head, which is checked when the head is complete, and
+# than the part of a body that may arrive before the request's handler starts.
+MAX_UNPARSED_BYTES = 1024 * 1024
+HEAD_TOO_LARGE_RESPONSE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
 REQUEST_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
@@ -26,34 +33,52 @@
     The times are monotonic, in seconds. ``idle_since`` is the end of the last request, or the
     start of the connection. ``head_started_at`` is the arrival of the first byte of the next
     request, ``None`` if no byte has arrived. ``has_request`` is set while a request is being
-    handled, ``timed_out`` once the connection is closed because of a slow request head.
+    handled, ``rejected`` once the connection is closed because of a slow or endless request head.
     """
 
-    __slots__ = ("has_request", "head_started_at", "idle_since", "timed_out")
+    __slots__ = (
+        "_served_request",
+        "_unparsed_bytes",
+        "has_request",
+        "head_started_at",
+        "idle_since",
+        "rejected",
+    )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Initialize the state of a new connection."""
         self.idle_since = time.monotonic()
         self.head_started_at: float | None = None
         self.has_request = False
-        self.timed_out = False
+        self.rejected = False
+        self._served_request = False
+        self._unparsed_bytes = 0
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
         """Record the start of a request head, and pass the data to the parser."""
         if not self.has_request and self.head_started_at is None:
             self.head_started_at = time.monotonic()
+        if not self.has_request:
+            self._unparsed_bytes += len(data)
+            if self._unparsed_bytes > MAX_UNPARSED_BYTES:
+                # After an earlier request, the data may be the rest of its body, which calls for
+                # no further response.
+                self._reject(b"" if self._served_request else HEAD_TOO_LARGE_RESPONSE)
+                return
         super().data_received(data)
 
     def begin_request(self) -> bool:
         """Record that a request head is complete; return whether the request may still be run."""
         self.has_request = True
         self.head_started_at = None
-        return not self.timed_out
+        self._unparsed_bytes = 0
+        return not self.rejected
 
     def end_request(self) -> None:
         """Record that the response to the request is complete."""
         self.has_request = False
+        self._served_request = True
         self.idle_since = time.monotonic()
 
     def is_idle(self, min_idle_s: float) -> bool:
@@ -68,9 +93,12 @@
             return
         if time.monotonic() - self.head_started_at < timeout_s:
             return
-        self.timed_out = True
-        if self.transport is not None:
-            self.transport.write(REQUEST_TIMEOUT_RESPONSE)
+        self._reject(REQUEST_TIMEOUT_RESPONSE)
+
+    def _reject(self, response: bytes) -> None:
+        self.rejected = True
+        if self.transport is not None and response:
+            self.transport.write(response)
         self.force_close()
 
 
--- a/src/jasmineseam/transport/connection_pool.py
+++ b/src/jasmineseam/transport/connection_pool.py
@@ -57,9 +57,15 @@
         if full or not connection.is_reusable or not connection.is_write_buffer_empty():
             connection.close()
             return
+        connection.end_exchange()
         connection.last_used_at = time.monotonic()
         idle.append(connection)
 
+    def discard(self, address: str) -> None:
+        """Close the idle connections to a server, which has restarted."""
+        for connection in self._idle.pop(address, []):
+            connection.close()
+
     def expire_connections(self, addresses: set[str]) -> None:
         """Close connections that are no longer reusable or have been idle for too long.
 
--- a/src/jasmineseam/transport/server_connection.py
+++ b/src/jasmineseam/transport/server_connection.py
@@ -22,11 +22,17 @@
 
 from ..exceptions import AttemptNotRunError
 from ..exceptions import AttemptOutcomeUnknownError
+from .response_memory import ResponseMemory
 
 # size of the largest response head expected from servers; aiohttp's parser limits each line and
 # each field of a head, not the whole head
 MAX_HEAD_LINE_BYTES = 65_536
 READ_BUFFER_BYTES = 262_144
+# Per request, a server may send this many bytes outside of bodies (heads, chunk sizes, trailers)
+# in addition to twice the size of the bodies.
+MAX_FRAMING_BYTES = 262_144
+# maximum size of a response to an earlier request, which is skipped
+MAX_SKIPPED_BODY_BYTES = 32 * 1024 * 1024
 # the kernel closes a connection whose sent data stays unacknowledged for this time
 TCP_USER_TIMEOUT_MS = 2000
 TCP_KEEPALIVE_IDLE_S = 2
@@ -38,15 +44,65 @@
 # that no request is sent on a connection that the server is about to close
 IDLE_LIMIT_FRACTION = 0.8
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d{1,6})", re.IGNORECASE)
-_TRANSPORT_ERRORS = (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError, EOFError)
+_TRANSPORT_ERRORS = (
+    aiohttp.ClientError,
+    aiohttp.EofStream,
+    aiohttp.http.HttpProcessingError,
+    OSError,
+    EOFError,
+)
 
 
 class _ConnectionProtocol(ResponseHandler):
-    """aiohttp's protocol, except that a connection reset ends an incomplete body with an error.
+    """aiohttp's protocol, with stricter handling of connections that send invalid data.
 
-    aiohttp completes a body that is delimited by the close of the connection even on a reset.
+    A connection reset ends an incomplete body with an error; aiohttp completes a body that is
+    delimited by the close of the connection even on a reset. Data that arrives while no response
+    is expected, and heads or trailers without end, close the connection.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._expects_response = False
+        self._received_bytes = 0
+        self._finished_body_bytes = 0
+        self._current_body: StreamReader | None = None
+
+    def begin_exchange(self) -> None:
+        """Expect responses from now on."""
+        self._expects_response = True
+        self._received_bytes = 0
+        self._finished_body_bytes = 0
+        self._current_body = None
+
+    def end_exchange(self) -> None:
+        """Expect no response until the next exchange begins."""
+        self._expects_response = False
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """Record the body of a new response, and queue the response."""
+        self._finished_body_bytes = self._count_body_bytes()
+        _, self._current_body = data
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass received data to the parser, unless it is surplus or exceeds the limit."""
+        if not self._expects_response:
+            self.abort()
+            return
+        self._received_bytes += len(data)
+        super().data_received(data)
+        if self._received_bytes > MAX_FRAMING_BYTES + 2 * self._count_body_bytes():
+            error = aiohttp.ClientPayloadError("too many bytes outside of bodies")
+            self.set_exception(error)
+            if self._current_body is not None and not self._current_body.is_eof():
+                self._current_body.set_exception(error)
+            self.abort()
+
+    def _count_body_bytes(self) -> int:
+        current = 0 if self._current_body is None else self._current_body.total_bytes
+        return self._finished_body_bytes + current
+
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
@@ -97,6 +153,7 @@
         self.request_count += 1
         if not self._protocol.is_connected():
             raise AttemptNotRunError("closed-before-sending")
+        self._protocol.begin_exchange()
         writer = StreamWriter(self._protocol, asyncio.get_running_loop())
         try:
             await writer.write_headers(f"{method} {path} HTTP/1.1", headers)
@@ -126,26 +183,38 @@
                 )
             await self._skip_body(payload)
 
-    async def read_body(self, response: IncomingResponse, limit: int) -> tuple[bytes, bool]:
+    async def read_body(
+        self, response: IncomingResponse, limit: int, memory: ResponseMemory
+    ) -> tuple[bytes, bool]:
         """Read the body of a response, and stop once it exceeds a limit.
 
         :param limit: maximum size of the body, in bytes.
+        :param memory: bounds the size of all bodies that are being received.
         :returns: the data read, and whether it is the complete body.
-        :raises AttemptOutcomeUnknownError: if the body is truncated.
+        :raises AttemptOutcomeUnknownError: if the body is truncated, or was evicted from memory.
         """
         if response.body is EMPTY_PAYLOAD:
             return b"", True
-        chunks = []
-        size = 0
+        buffer = memory.open(abort=self.close)
         try:
             while chunk := await response.body.readany():
-                chunks.append(chunk)
-                size += len(chunk)
-                if size > limit:
-                    return b"".join(chunks), False
+                memory.append(buffer, chunk)
+                if buffer.evicted:
+                    raise AttemptOutcomeUnknownError("response-memory")
+                if buffer.size > limit:
+                    return buffer.get_body(), False
         except _TRANSPORT_ERRORS as error:
-            raise AttemptOutcomeUnknownError("response-cut") from error
-        return b"".join(chunks), True
+            reason = "response-memory" if buffer.evicted else "response-cut"
+            raise AttemptOutcomeUnknownError(reason) from error
+        finally:
+            memory.close(buffer)
+        if buffer.evicted:
+            raise AttemptOutcomeUnknownError("response-memory")
+        return buffer.get_body(), True
+
+    def end_exchange(self) -> None:
+        """Mark the last response as complete; further data closes the connection."""
+        self._protocol.end_exchange()
 
     def close(self) -> None:
         """Abort the connection immediately, so that the server cancels a running request."""
@@ -159,9 +228,12 @@
     async def _skip_body(self, payload: StreamReader) -> None:
         if payload is EMPTY_PAYLOAD:
             return
+        size = 0
         try:
-            while await payload.readany():
-                continue
+            while chunk := await payload.readany():
+                size += len(chunk)
+                if size > MAX_SKIPPED_BODY_BYTES:
+                    raise AttemptOutcomeUnknownError("other-response-too-large")
         except _TRANSPORT_ERRORS as error:
             raise AttemptOutcomeUnknownError("response-cut") from error
 
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -27,6 +27,11 @@
     :param work_s: processing time of a request, in seconds.
     :param slowness_pct: processing time in percent of the usual time.
     :param error_status: status of all responses, 0 for success.
+    :param leaving: whether all responses report that the instance is leaving.
+    :param retry_after_s: a request is rejected with this Retry-After time in seconds, unless it
+        is 0.
+    :param endless_pause_s: pause between two bytes of an ``endless-*`` fault, in seconds; 0 to
+        send as fast as possible.
     :param fault: the fault of the responses, empty for none:
         ``cut``: the connection is closed in the middle of the body.
         ``reset``, ``lost``: the connection is reset or closed instead of a response.
@@ -37,6 +42,12 @@
         ``unsigned``: no signature header.
         ``garbage``: bytes that are no HTTP response.
         ``encoded``: a Content-Encoding header, although the body is not encoded.
+        ``endless-line``, ``endless-head``: a header line, or header lines, without end.
+        ``endless-interim``: interim responses without end.
+        ``endless-sized``, ``endless-chunked``, ``endless-unframed``: a body without end that
+        announces a huge size, is chunked, or ends with the connection.
+        ``endless-trailer``: a complete chunked body with trailer lines without end.
+        ``endless-other``: a body without end in a response to another request.
     :param fault_count: how many of the next responses are faulty, -1 for all.
     :param silent_when_full: sends no response where it would reject a request.
     :param healthy: whether health checks succeed.
@@ -49,6 +60,9 @@
     fault_count: int = -1
     silent_when_full: bool = False
     healthy: bool = True
+    leaving: bool = False
+    retry_after_s: float = 0.0
+    endless_pause_s: float = 0.0
 
 
 class StandInInstance:
@@ -89,6 +103,8 @@
         self.request_headers: list[dict[str, str]] = []
         self.request_bodies: list[bytes] = []
         self.probe_times: list[float] = []
+        self.rejection_times: list[float] = []
+        self.endless_bytes = 0
         self.connection_count = 0
         self._free_slots = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
@@ -173,6 +189,14 @@
             id_header = [f"Jasmineseam-Instance-Id: {self.instance_id}"]
             writer.write(self._build_response(421, id_header, b"", signed=False))
             return True
+        if self.behaviour.retry_after_s:
+            headers_sent = [
+                "Jasmineseam-Not-Executed: 1",
+                f"Retry-After: {self.behaviour.retry_after_s:g}",
+            ]
+            self.rejection_times.append(time.monotonic())
+            writer.write(self._build_response(503, headers_sent, b"", signed=False))
+            return True
         if self.running >= self.slots and self.waiting >= self.max_queued:
             if self.behaviour.silent_when_full:
                 await reader.read(-1)
@@ -232,6 +256,9 @@
             if fault == "reset":
                 _reset_connection(writer)
             return False
+        if fault.startswith("endless-"):
+            await self._send_without_end(writer, fault, request_id)
+            return False
         if fault == "garbage":
             writer.write(b"\x00\x01 no answer at all\r\n\r\n")
             return True
@@ -265,12 +292,51 @@
             loop.call_later(0.02, writer.write, response)
         return True
 
+    async def _send_without_end(
+        self, writer: asyncio.StreamWriter, fault: str, request_id: str
+    ) -> None:
+        """Send the start of a response, then the same bytes again until the client closes."""
+        other_id = "another-request" if fault == "endless-other" else request_id
+        head = (
+            "HTTP/1.1 200 Stand-in\r\nJasmineseam-Response-Signature: 1.2.3\r\n"
+            f"Jasmineseam-Request-Id: {other_id}\r\n"
+        )
+        start, repeated = {
+            "endless-line": (head + "X-Long: ", "x"),
+            "endless-head": (head, "X-More: 1\r\n"),
+            "endless-interim": ("", "HTTP/1.1 102 Processing\r\n\r\n"),
+            "endless-sized": (head + "Content-Length: 99999999999999\r\n\r\n", "x"),
+            "endless-chunked": (head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+            "endless-unframed": (head + "\r\n", "x"),
+            "endless-trailer": (
+                head + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+                "X-More: 1\r\n",
+            ),
+            "endless-other": (head + "Content-Length: 99999999999999\r\n\r\n", "x"),
+        }[fault]
+        writer.write(start.encode())
+        block = repeated.encode()
+        if self.behaviour.endless_pause_s:
+            while True:
+                for byte in block:
+                    writer.write(bytes([byte]))
+                    await writer.drain()
+                    await asyncio.sleep(self.behaviour.endless_pause_s)
+        block *= 65_536 // len(block)
+        while True:
+            writer.write(block)
+            self.endless_bytes += len(block)
+            await writer.drain()
+            await asyncio.sleep(0)
+
     def _build_response(
         self, status: int, headers: list[str], body: bytes, *, signed: bool
     ) -> bytes:
         lines = [f"HTTP/1.1 {status} Stand-in", *headers]
         load = f"{self.running},{self.waiting},{self.slots},{self.behaviour.slowness_pct}"
         lines.append(f"Jasmineseam-Instance-Load: {load}")
+        if self.behaviour.leaving:
+            lines.append("Server-Leaving: 1")
         if signed:
             lines.append("Jasmineseam-Response-Signature: 1.2.3")
         lines.append(f"Content-Length: {len(body)}")
--- a/standins/store.py
+++ b/standins/store.py
@@ -77,6 +77,9 @@
         self.behaviour = StoreBehaviour()
         self.call_paths: list[str] = []
         self.waiting_long_polls = 0
+        # number in the header of each response; a restore from a backup increments it
+        self.era = 1
+        self._backup: dict[str, tuple[list[tuple[str, bytes]], int, dict[str, int]]] = {}
 
     def put(self, topic: str, key: str, value: t.Any) -> int:
         """Append a record, in place of the operator or a server.
@@ -99,6 +102,26 @@
         topic_state.record_added.set()
         topic_state.record_added = asyncio.Event()
 
+    def take_backup(self) -> None:
+        """Remember all records for :meth:`restore_backup`."""
+        self._backup = {
+            name: (list(topic.records), topic.first_offset, dict(topic.newest_offsets))
+            for name, topic in self._topics.items()
+        }
+
+    def restore_backup(self) -> None:
+        """Lose all records since the backup, and begin a new era.
+
+        Long polls that are waiting end at their timeout, with the earlier era in their response.
+        """
+        self.era += 1
+        self._topics = {}
+        for name, (records, first_offset, newest_offsets) in self._backup.items():
+            topic = self._topics[name] = _Topic()
+            topic.records = list(records)
+            topic.first_offset = first_offset
+            topic.newest_offsets = dict(newest_offsets)
+
     def get_newest(self, topic: str, key: str) -> bytes | None:
         """Return the newest value of a key, or ``None`` if it has none."""
         topic_state = self._get_topic(topic)
@@ -108,6 +131,12 @@
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Handle one call."""
         self.call_paths.append(request.path)
+        era = self.era
+        response = await self._respond(request)
+        response.headers["Store-Era"] = str(era)
+        return response
+
+    async def _respond(self, request: web.BaseRequest) -> web.Response:
         failure_response = await self._apply_failure(request)
         if failure_response is not None:
             return failure_response
@@ -230,7 +259,7 @@
                 pass
             finally:
                 self.waiting_long_polls -= 1
-        if offset < topic.first_offset:
+        if offset < topic.first_offset or offset > len(topic.records):
             return web.json_response({"first": topic.first_offset}, status=410)
         parts = [_OFFSET_BOUNDS.pack(len(topic.records), topic.first_offset)]
         for key, value in topic.records[offset:]:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -744,3 +744,36 @@
         assert sum(cold.run_counts.values()) >= 2
 
     run_scenario(scenario)
+
+
+def test_unexpected_error_of_a_background_task_does_not_end_the_node():
+    async def scenario(deployment):
+        node = await start_node(deployment)
+        apply_changes = node.registry.apply_changes
+        faults = [RecursionError("a fault")]
+
+        def fail_once(changes, position):
+            if faults:
+                raise faults.pop()
+            apply_changes(changes, position)
+
+        node.store_watcher._registry = FaultyRegistry(node.registry, fail_once)
+        await deployment.add_instance("i-3")
+        await wait_until(lambda: node.registry.count_usable() == 3, "i-3 is usable", 3.0)
+        assert not faults
+        assert not node.crashed
+        assert node.collect_state()["task_restarts"] == {"watch_servers": 1}
+        assert (await deployment.send_request(node, "/safe/1"))[0] == 200
+
+    run_scenario(scenario)
+
+
+class FaultyRegistry:
+    """A server registry whose method ``apply_changes`` is replaced."""
+
+    def __init__(self, registry, apply_changes):
+        self._registry = registry
+        self.apply_changes = apply_changes
+
+    def __getattr__(self, name):
+        return getattr(self._registry, name)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,11 +1,18 @@
 """Decoding of the platform's settings, records and headers."""
 
+import contextlib
 import json
 
+import hypothesis
 import pytest
+from hypothesis import strategies as st
 
 from jasmineseam.exceptions import InvalidRecordError
 from jasmineseam.exceptions import SettingsError
+from jasmineseam.membership.store_position import StorePosition
+from jasmineseam.peers.messages import ServersNotice
+from jasmineseam.peers.messages import decode_message
+from jasmineseam.peers.messages import encode_message
 from jasmineseam.platform.headers import decode_request_headers
 from jasmineseam.platform.headers import decode_response_headers
 from jasmineseam.platform.headers import encode_request_headers
@@ -141,6 +148,13 @@
         {"sequence": -1},
         {"born": "now"},
         {"warmup-left": 3},
+        {"address": "300.0.0.1:80"},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:0"},
+        {"slots": 2**64},
+        {"sequence": 2**63},
+        {"born": 1.5},
+        {"born": None},
     ],
 )
 def test_invalid_server_record_removes_the_server_and_reports_the_error(change):
@@ -152,6 +166,61 @@
     assert error.key == "i-1"
 
 
+@pytest.mark.parametrize("depth", [1_000, 100_000])
+@pytest.mark.parametrize("start", [b'{"service":', b'{"extra":', b""])
+def test_deeply_nested_record_is_invalid(start, depth):
+    value = start + b"[" * depth + b"]" * depth + (b"}" if start else b"")
+    with pytest.raises(InvalidRecordError):
+        decode_listing(KeyedRecord(key="i-1", value=value))
+    with pytest.raises(InvalidRecordError):
+        decode_routing_table(value)
+
+
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8)
+    | st.sampled_from(list(SERVER_RECORD.values())),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner),
+    max_leaves=6,
+)
+
+
+@hypothesis.given(
+    record=st.dictionaries(st.sampled_from([*SERVER_RECORD, "other"]), JSON_VALUES)
+    | st.builds(
+        lambda change: {**SERVER_RECORD, **change},
+        st.dictionaries(st.sampled_from(list(SERVER_RECORD)), JSON_VALUES, max_size=2),
+    )
+)
+def test_any_server_record_is_decoded_or_invalid(record):
+    change, error = decode_server_change(KeyedRecord(key="i-1", value=json.dumps(record).encode()))
+    assert (change.listing is None) == (error is not None)
+    if change.listing is not None:
+        notice = ServersNotice(
+            begin=StorePosition(1, 0), end=StorePosition(1, 1), age_s=0.0, changes=[change]
+        )
+        assert decode_message(encode_message(notice)) == notice
+
+
+@hypothesis.given(
+    value=st.binary(max_size=200)
+    | st.builds(
+        lambda data, start, end: data[: start % 90] + data[end % 90 :],
+        st.just(json.dumps(SERVER_RECORD).encode()),
+        st.integers(0, 89),
+        st.integers(0, 89),
+    )
+)
+def test_any_bytes_are_decoded_or_invalid(value):
+    _, error = decode_server_change(KeyedRecord(key="i-1", value=value))
+    assert error is None or error.key == "i-1"
+    with contextlib.suppress(InvalidRecordError):
+        decode_routing_table(value)
+
+
 def test_removed_key_removes_the_server_without_an_error():
     decoded, error = decode_server_change(KeyedRecord(key="i-1", value=b""))
     assert (decoded.listing, error) == (None, None)
@@ -182,3 +251,20 @@
 def test_response_headers(status, headers, signed, not_run):
     head = decode_response_headers(status, headers)
     assert (head.signed, head.not_run) == (signed, not_run)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "leaving", "retry_after_s"),
+    [
+        (200, {"Server-Leaving": "1"}, True, 0.0),
+        (503, {"Server-Leaving": "0", "Retry-After": "1.5"}, False, 1.5),
+        (503, {"Retry-After": "Fri, 04 Dec 2026 10:00:00 GMT"}, False, 0.0),
+        (503, {"Retry-After": "-1"}, False, 0.0),
+        (503, {"Retry-After": "nan"}, False, 0.0),
+        (503, {"Retry-After": "1e9"}, False, 0.0),
+        (200, {"Retry-After": "1"}, False, 0.0),
+    ],
+)
+def test_leaving_state_and_retry_time(status, headers, leaving, retry_after_s):
+    head = decode_response_headers(status, headers)
+    assert (head.leaving, head.retry_after_s) == (leaving, retry_after_s)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -9,6 +9,7 @@
 from jasmineseam.exceptions import AttemptNotRunError
 from jasmineseam.exceptions import AttemptOutcomeUnknownError
 from jasmineseam.transport.connection_pool import ConnectionPool
+from jasmineseam.transport.response_memory import ResponseMemory
 from standins.instance import StandInInstance
 
 
@@ -34,7 +35,7 @@
             status if received.get("Jasmineseam-Request-Id") == request_id else None
         )
     )
-    return await connection.read_body(response, 1000)
+    return await connection.read_body(response, 1000, ResponseMemory(max_bytes=10_000))
 
 
 def test_a_released_connection_is_reused():
@@ -121,3 +122,31 @@
         assert pool.count_idle() == 0
 
     run(scenario)
+
+
+def test_data_on_an_idle_connection_closes_it():
+    async def scenario(instance, pool):
+        connection = await pool.acquire(instance.address)
+        instance.behaviour.fault = "late-extra"
+        await run_request(connection, "q1")
+        pool.release(instance.address, connection)
+        assert connection.is_reusable
+        await asyncio.sleep(0.1)
+        assert not connection.is_reusable
+        other = await pool.acquire(instance.address)
+        assert other is not connection
+        other.close()
+
+    run(scenario)
+
+
+def test_discarded_connections_are_closed():
+    async def scenario(instance, pool):
+        connection = await pool.acquire(instance.address)
+        await run_request(connection, "q1")
+        pool.release(instance.address, connection)
+        pool.discard(instance.address)
+        assert not connection.is_reusable
+        assert pool.count_idle() == 0
+
+    run(scenario)
