--- /dev/null
+++ b/src/jasmineseam/membership/nodes.py
@@ -0,0 +1,289 @@
+"""Membership of nodes, with versioned states and suspicion before a node counts as failed.
+
+Each node publishes its own state with a version that only the node itself increases. A newer
+version replaces an older one, so states may arrive late, repeatedly and from any node. A node that
+does not answer is suspected first; it can refute the suspicion with a newer version of its state.
+"""
+
+from __future__ import annotations
+
+import enum
+import typing as t
+
+import msgspec
+import xxhash
+
+# A suspected node counts as failed if it does not refute the suspicion within this time.
+SUSPICION_TIMEOUT_S = 1.5
+# A failed node is counted, and contacted now and then, for this time.
+FAILED_RETENTION_S = 30.0
+# Failed nodes are forgotten after this time; until then, an old state does not bring them back.
+FORGET_AFTER_S = 120.0
+# Nodes are divided into this many groups, whose states are compared between two nodes.
+DIGEST_GROUP_COUNT = 16
+
+
+class NodeInfo(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """The state that a node publishes.
+
+    :param version: increases with each change; starts with the Unix time of the node's start in
+        milliseconds, so that a restarted node continues with higher versions.
+    :param entry_address: ``ip:port`` for requests of callers.
+    :param notice_address: ``ip:port`` for datagrams of other nodes.
+    :param peer_address: ``ip:port`` for requests of other nodes.
+    :param ready: whether callers may send requests to the node.
+    :param leaving: whether the node is shutting down.
+    :param reads_store: whether the node has no failing access to the metadata store.
+    """
+
+    vm_id: str
+    version: int
+    failure_domain: str
+    entry_address: str
+    notice_address: str
+    peer_address: str
+    ready: bool = False
+    leaving: bool = False
+    reads_store: bool = True
+
+
+class NodeStatus(enum.Enum):
+    """What this node believes of another one."""
+
+    ALIVE = "alive"
+    SUSPECTED = "suspected"
+    FAILED = "failed"
+
+
+class _Member:
+    __slots__ = ("info", "status", "status_at")
+
+    def __init__(self, info: NodeInfo, now: float) -> None:
+        self.info = info
+        self.status = NodeStatus.ALIVE
+        self.status_at = now
+
+
+class NodeMembership:
+    """The nodes of the fleet as known to one node.
+
+    :param own: the state of this node.
+    :param clock: returns monotonic time in seconds.
+
+    >>> def make_info(vm_id, version=1):
+    ...     return NodeInfo(vm_id=vm_id, version=version, failure_domain="d", entry_address="",
+    ...                     notice_address=vm_id, peer_address="", ready=True)
+    >>> membership = NodeMembership(own=make_info("a"), clock=lambda: 0.0)
+    >>> membership.apply(make_info("b", 2)), membership.apply(make_info("b", 1))
+    (True, False)
+    >>> membership.suspect("b", 2)
+    True
+    >>> [info.vm_id for info in membership.list_live()]
+    ['a']
+    """
+
+    __slots__ = ("_clock", "_digests", "_digests_version", "_members", "own", "state_changes")
+
+    def __init__(self, *, own: NodeInfo, clock: t.Callable[[], float]) -> None:
+        self._clock = clock
+        self._members: dict[str, _Member] = {}
+        self.own = own
+        # number of changes of other nodes' states and of their status
+        self.state_changes = 0
+        self._digests: list[int] = []
+        self._digests_version = (-1, -1)
+
+    def update_own(self, **changes: t.Any) -> bool:
+        """Change fields of the own state; return whether any differs, with a new version."""
+        if all(getattr(self.own, name) == value for name, value in changes.items()):
+            return False
+        changes.setdefault("version", self.own.version + 1)
+        self.own = msgspec.structs.replace(self.own, **changes)
+        return True
+
+    def refute(self, version: int) -> bool:
+        """Raise the own version above one that others suspect or hold; return if it changed."""
+        if version < self.own.version:
+            return False
+        return self.update_own(version=version + 1)
+
+    def apply(self, info: NodeInfo) -> bool:
+        """Store a node's state if it is newer than the known one; return whether it was.
+
+        A state of this node itself, from before its restart, raises the own version instead.
+        """
+        if info.vm_id == self.own.vm_id:
+            return info != self.own and self.refute(info.version)
+        member = self._members.get(info.vm_id)
+        if member is not None and info.version <= member.info.version:
+            return False
+        self._members[info.vm_id] = _Member(info, self._clock())
+        self.state_changes += 1
+        return True
+
+    def record_contact(self, info: NodeInfo) -> bool:
+        """Record a message that a node itself has sent; return whether its state was new.
+
+        The message proves that the node is alive, so a suspicion ends.
+        """
+        new = self.apply(info)
+        member = self._members.get(info.vm_id)
+        if member is not None and info.version == member.info.version:
+            self._set_status(member, NodeStatus.ALIVE)
+        return new
+
+    def is_suspected(self, info: NodeInfo) -> bool:
+        """Return whether the node is suspected or failed in the version of the given state."""
+        member = self._members.get(info.vm_id)
+        if member is None or member.info.version > info.version:
+            return False
+        return member.status != NodeStatus.ALIVE
+
+    def suspect(self, vm_id: str, version: int) -> bool:
+        """Suspect a node in one version of its state; return whether this was new.
+
+        A suspicion of this node itself raises the own version.
+        """
+        if vm_id == self.own.vm_id:
+            return self.refute(version)
+        member = self._members.get(vm_id)
+        if member is None or member.info.version != version:
+            return False
+        if member.status != NodeStatus.ALIVE:
+            return False
+        self._set_status(member, NodeStatus.SUSPECTED)
+        return True
+
+    def expire(self) -> list[NodeInfo]:
+        """Mark nodes as failed whose suspicion was not refuted; return them.
+
+        Nodes that failed long ago are forgotten.
+        """
+        now = self._clock()
+        failed = []
+        for vm_id, member in list(self._members.items()):
+            age_s = now - member.status_at
+            if member.status == NodeStatus.SUSPECTED and age_s >= SUSPICION_TIMEOUT_S:
+                self._set_status(member, NodeStatus.FAILED)
+                failed.append(member.info)
+                continue
+            if member.status == NodeStatus.FAILED and age_s >= FORGET_AFTER_S:
+                del self._members[vm_id]
+                self.state_changes += 1
+        return failed
+
+    def get(self, vm_id: str) -> NodeInfo | None:
+        """Return the state of a node, ``None`` if it is unknown."""
+        if vm_id == self.own.vm_id:
+            return self.own
+        member = self._members.get(vm_id)
+        return None if member is None else member.info
+
+    def list_statuses(self) -> dict[str, str]:
+        """Return the status of each other node by its VM id."""
+        return {vm_id: member.status.value for vm_id, member in self._members.items()}
+
+    def list_peers(self) -> list[NodeInfo]:
+        """Return the other nodes that have not failed."""
+        return [
+            member.info for member in self._members.values() if member.status != NodeStatus.FAILED
+        ]
+
+    def list_failed(self) -> list[NodeInfo]:
+        """Return the nodes that have failed and are not forgotten."""
+        return [
+            member.info for member in self._members.values() if member.status == NodeStatus.FAILED
+        ]
+
+    def list_live(self) -> list[NodeInfo]:
+        """Return the nodes that callers may send requests to, including this one."""
+        live = [
+            member.info
+            for member in self._members.values()
+            if member.status == NodeStatus.ALIVE and member.info.ready and not member.info.leaving
+        ]
+        if self.own.ready and not self.own.leaving:
+            live.append(self.own)
+        return live
+
+    def count(self, failure_domain: str | None = None) -> int:
+        """Return the number of nodes that share the fleet's limits, at least 1.
+
+        It includes this node and nodes that failed recently, which may only be unreachable.
+
+        :param failure_domain: if set, only nodes in it are counted.
+        """
+        now = self._clock()
+        count = failure_domain in (None, self.own.failure_domain)
+        for member in self._members.values():
+            if member.info.leaving:
+                continue
+            if failure_domain is not None and member.info.failure_domain != failure_domain:
+                continue
+            if member.status == NodeStatus.FAILED and now - member.status_at >= FAILED_RETENTION_S:
+                continue
+            count += 1
+        return max(1, int(count))
+
+    def compute_digests(self) -> list[int]:
+        """Return one hash per group of nodes, over the versions of alive nodes' states."""
+        version = (self.state_changes, self.own.version)
+        if version == self._digests_version:
+            return self._digests
+        digests = [0] * DIGEST_GROUP_COUNT
+        for info in self._list_alive():
+            digests[_get_group(info)] ^= xxhash.xxh3_64_intdigest(
+                f"{info.vm_id} {info.version}".encode()
+            )
+        self._digests = digests
+        self._digests_version = version
+        return digests
+
+    def list_differing(self, digests: list[int]) -> tuple[list[NodeInfo], list[tuple[str, int]]]:
+        """Return the nodes of all groups whose hash differs from the one in a list of hashes.
+
+        :returns: the states of alive nodes, and the VM ids and versions of suspected and failed
+            ones.
+        """
+        own_digests = self.compute_digests()
+
+        def differs(info: NodeInfo) -> bool:
+            group = _get_group(info)
+            return len(digests) != len(own_digests) or digests[group] != own_digests[group]
+
+        suspected = [
+            (vm_id, member.info.version)
+            for vm_id, member in self._members.items()
+            if member.status != NodeStatus.ALIVE and differs(member.info)
+        ]
+        return [info for info in self._list_alive() if differs(info)], suspected
+
+    def _list_alive(self) -> list[NodeInfo]:
+        alive = [
+            member.info for member in self._members.values() if member.status == NodeStatus.ALIVE
+        ]
+        alive.append(self.own)
+        return alive
+
+    def _set_status(self, member: _Member, status: NodeStatus) -> None:
+        if member.status == status:
+            return
+        member.status = status
+        member.status_at = self._clock()
+        self.state_changes += 1
+
+
+def combine_digests(digests: list[int]) -> int:
+    """Return one hash over the hashes of all groups.
+
+    >>> combine_digests([1, 2, 4])
+    7
+    """
+    combined = 0
+    for digest in digests:
+        combined ^= digest
+    return combined
+
+
+def _get_group(info: NodeInfo) -> int:
+    return xxhash.xxh3_64_intdigest(info.vm_id.encode()) % DIGEST_GROUP_COUNT
--- a/src/jasmineseam/membership/registry.py
+++ b/src/jasmineseam/membership/registry.py
@@ -40,16 +40,6 @@
     sequence: int = 0
 
 
-class ServerChange(msgspec.Struct, kw_only=True, frozen=True):
-    """One change of the list of servers.
-
-    :param listing: the new listing, ``None`` if it was removed or is invalid.
-    """
-
-    server_id: str
-    listing: ServerListing | None = None
-
-
 class Departure(msgspec.Struct, kw_only=True, frozen=True):
     """A server that is leaving, or whose listing was removed.
 
@@ -69,6 +59,18 @@
         return (listing.started_ms, listing.sequence) <= (self.started_ms, self.sequence)
 
 
+class ServerChange(msgspec.Struct, kw_only=True, frozen=True):
+    """One change of the list of servers.
+
+    :param listing: the new listing, ``None`` if it was removed or is invalid.
+    :param removed: the start and the newest sequence number of a removed listing, if known.
+    """
+
+    server_id: str
+    listing: ServerListing | None = None
+    removed: Departure | None = None
+
+
 class RegisteredServer:
     """A listed server, with the end of its warm-up and the time at which it is removed, if any.
 
@@ -132,58 +134,83 @@
         """Return the time since the list was last confirmed to be up to date, in seconds."""
         return self._clock() - self._confirmed_at
 
-    def mark_confirmed(self, age_s: float = 0.0) -> None:
+    def mark_confirmed(self, age_s: float = 0.0, *, detect_outage: bool = True) -> None:
         """Record that the list was up to date *age_s* seconds ago.
 
-        A gap of more than :data:`MIN_OUTAGE_S` since the last confirmation counts as an outage of
-        the store.
+        :param detect_outage: whether a gap of more than :data:`MIN_OUTAGE_S` since the last
+            confirmation counts as an outage of the store.
         """
         confirmed_at = self._clock() - age_s
         if confirmed_at <= self._confirmed_at:
             return
-        if self.loaded and confirmed_at - self._confirmed_at > MIN_OUTAGE_S:
+        gap_s = confirmed_at - self._confirmed_at
+        if detect_outage and self.loaded and gap_s > MIN_OUTAGE_S:
             self._outage_ended_at = confirmed_at
         self._confirmed_at = confirmed_at
 
-    def replace_listings(self, listings: list[ServerListing], position: StorePosition) -> None:
-        """Replace the list by a complete one, unless the list already includes later changes.
+    def start_grace_period(self) -> None:
+        """Keep servers whose listing is removed from now on for a grace period."""
+        self._outage_ended_at = self._clock()
 
-        The first list of a new timeline may lack servers that the store has not recorded again
-        yet, so they are kept for a grace period as after an outage.
+    def replace_listings(
+        self, listings: list[ServerListing], position: StorePosition
+    ) -> list[ServerChange]:
+        """Replace the list by a complete one, unless the list already includes later changes.
 
         :param position: position in the store at which the subsequent changes start.
+        :returns: the changes that had an effect.
         """
         if position < self.position:
-            return
-        if self.loaded and position.timeline > self.position.timeline:
-            self._outage_ended_at = self._clock()
+            return []
         listed_ids = {listing.server.server_id for listing in listings}
-        for server_id in list(self._registered):
-            if server_id not in listed_ids:
-                self._remove_server(server_id)
-        for listing in listings:
-            self._put_listing(listing)
+        changes = [
+            ServerChange(server_id=server_id)
+            for server_id in self._registered
+            if server_id not in listed_ids
+        ]
+        changes += [
+            ServerChange(server_id=listing.server.server_id, listing=listing)
+            for listing in listings
+        ]
+        effective = self.record_changes(changes)
         self.position = position
-        self.loaded = True
-        self._rebuild_index()
+        if not self.loaded:
+            self.loaded = True
+            self._rebuild_index()
+        return [changes[index] for index in effective]
 
-    def apply_changes(self, changes: list[ServerChange], position: StorePosition) -> None:
-        """Apply changes, unless the list already includes them.
+    def apply_changes(
+        self, changes: list[ServerChange], begin: StorePosition, end: StorePosition
+    ) -> bool:
+        """Apply changes, unless the list already includes them or lacks earlier ones.
 
-        :param position: position in the store after the last of the changes; changes of another
-            timeline than that of the list are ignored.
+        :param begin: position in the store up to which the list must be known.
+        :param end: position in the store after the last of the changes.
+        :returns: whether the changes were applied.
         """
-        if position <= self.position or position.timeline != self.position.timeline:
-            return
-        changed = False
-        for change in changes:
-            if change.listing is None:
-                changed |= self._remove_server(change.server_id)
-                continue
-            changed |= self._put_listing(change.listing)
-        self.position = position
-        if changed:
+        if not self.loaded or begin > self.position or end <= self.position:
+            return False
+        self.record_changes(changes)
+        self.position = end
+        return True
+
+    def record_changes(self, changes: list[ServerChange]) -> list[int]:
+        """Apply changes without a new position.
+
+        :returns: the indexes of the changes that had an effect other than a newer sequence number
+            or warm-up time.
+        """
+        effective = []
+        for index, change in enumerate(changes):
+            if change.listing is not None:
+                changed = self._put_listing(change.listing)
+            else:
+                changed = self._remove_server(change)
+            if changed:
+                effective.append(index)
+        if effective:
             self._rebuild_index()
+        return effective
 
     def mark_stale(self, server_id: str) -> None:
         """Mark a server's listing as stale, because another server responded at its address.
@@ -211,9 +238,16 @@
         self._departures[departure.server_id] = (departure, self._clock())
         registered = self._registered.get(departure.server_id)
         if registered is not None and departure.covers(registered.listing):
+            if departure.sequence is not None:
+                del self._registered[departure.server_id]
             self._rebuild_index()
         return True
 
+    def get_departure(self, server_id: str) -> Departure | None:
+        """Return the newest departure of a server, ``None`` if there is none."""
+        recorded = self._departures.get(server_id)
+        return None if recorded is None else recorded[0]
+
     def list_departures(self, max_age_s: float = DEPARTURE_RETENTION_S) -> list[Departure]:
         """Return the departures that were recorded within the last *max_age_s* seconds."""
         oldest = self._clock() - max_age_s
@@ -223,14 +257,16 @@
             if recorded_at >= oldest
         ]
 
-    def expire_servers(self) -> None:
+    def expire_servers(self) -> list[Departure]:
         """Drop the servers whose listing was removed and whose grace period is over.
 
         Departures are dropped after :data:`DEPARTURE_RETENTION_S`, unless the server is still
         listed.
+
+        :returns: the departures of the dropped servers.
         """
         now = self._clock()
-        expired = False
+        expired = []
         for server_id, (_, recorded_at) in list(self._departures.items()):
             if now - recorded_at > DEPARTURE_RETENTION_S and server_id not in self._registered:
                 del self._departures[server_id]
@@ -238,9 +274,10 @@
             if registered.removal_due_at is None or registered.removal_due_at > now:
                 continue
             self._delete_server(server_id, registered)
-            expired = True
+            expired.append(self._departures[server_id][0])
         if expired:
             self._rebuild_index()
+        return expired
 
     def get_server(self, server_id: str) -> RegisteredServer | None:
         """Return a server by its id, ``None`` if it is not listed."""
@@ -274,7 +311,9 @@
             return False
         restarted = listing.started_ms != registered.listing.started_ms
         changed = (
-            listing.server != registered.listing.server or registered.removal_due_at is not None
+            listing.server != registered.listing.server
+            or listing.slots != registered.listing.slots
+            or registered.removal_due_at is not None
         )
         if restarted:
             self._registered[server_id] = RegisteredServer(listing=listing, now=now)
@@ -283,9 +322,12 @@
         registered.removal_due_at = None
         return changed or server_id in self._stale_versions
 
-    def _remove_server(self, server_id: str) -> bool:
+    def _remove_server(self, change: ServerChange) -> bool:
+        server_id = change.server_id
         registered = self._registered.get(server_id)
         if registered is None:
+            if change.removed is not None:
+                self.add_departure(change.removed)
             return False
         now = self._clock()
         since_outage_s = now - self._outage_ended_at
@@ -294,6 +336,8 @@
                 registered.removal_due_at = self._outage_ended_at + POST_OUTAGE_GRACE_S
             return False
         self._delete_server(server_id, registered)
+        if change.removed is not None:
+            self.add_departure(change.removed)
         return True
 
     def _delete_server(self, server_id: str, registered: RegisteredServer) -> None:
--- a/src/jasmineseam/operations/node_settings.py
+++ b/src/jasmineseam/operations/node_settings.py
@@ -43,7 +43,7 @@
     :param readiness: for readiness checks.
     :param locator: for callers that request entry addresses.
     :param peers: for requests from other nodes.
-    :param notices: for one-way messages from other nodes.
+    :param notices: for datagrams from other nodes.
     """
 
     entry: str
@@ -73,7 +73,8 @@
 
     :param retries: retry budget of each service.
     :param store_address: ``ip:port`` of the metadata store.
-    :param seed_peers: addresses of peers to contact at start; some may no longer be in use.
+    :param seed_peers: datagram addresses of nodes to contact at start; some may no longer be in
+        use.
     :param probes_per_s: maximum probes per second that one server may receive from all nodes.
     :param grace_s: time between the stop signal and the kill, in seconds.
     :param longest_lifetime_s: maximum time that a caller caches a locator response, in seconds.
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -12,6 +12,7 @@
 from ..catalogue.records import CatalogueSnapshot
 from ..catalogue.records import EntryState
 from ..exceptions import InvalidMessageError
+from ..membership.nodes import NodeInfo
 from ..membership.registry import Departure
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerListing
@@ -24,7 +25,6 @@
 from ..membership.vms import VmInfo
 from ..requests.ledger import LedgerSnapshot
 from ..requests.outcome import CallerResponse
-from ..routing.routes import RoutingTable
 
 PROTOCOL_VERSION = 1
 
@@ -206,56 +206,131 @@
     processes: list[ProcessRevisionStatus]
 
 
-class NodeGossip(Message, tag="node-gossip"):
-    """Sends a node's state to a peer; the reply is of the same type.
+class StateDigest(msgspec.Struct, array_like=True, frozen=True):
+    """Summary of what a node knows, by which another node detects what it lacks.
 
-    :param peers: addresses of the peers that the sender can reach.
-    :param table_version: version of the sender's routing table, -1 for none.
-    :param servers_age_s: time since a read of the store last confirmed the sender's server list,
-        in seconds.
-    :param table: routing table, set in a reply to a node with an older routing table.
-    :param listings: server list, set in a reply to a node with an older server list.
-    :param servers_position: store position from which changes of the server list are read.
-    :param departures: servers that have recently left or are leaving; all remembered ones if
-        *listings* is set.
+    :param nodes_hash: hash over the versions of all nodes' states.
+    :param table_version: version of the routing table, -1 for none.
+    :param servers_position: store position up to which the node knows the server list.
+    :param servers_age_ms: time since the list was confirmed by a read of the store, in
+        milliseconds; -1 if the node has no list.
     """
 
-    vm: VmInfo
-    peers: list[str]
-    table_version: int = -1
-    servers_age_s: float = float("inf")
-    table: RoutingTable | None = None
-    listings: list[ServerListing] | None = None
-    servers_position: StorePosition = UNKNOWN_POSITION
-    departures: list[Departure] = []
+    nodes_hash: int
+    table_version: int
+    servers_position: StorePosition
+    servers_age_ms: int
+
+
+class FleetMessage(Message):
+    """Base class of the datagrams between nodes; each contains its sender's state.
+
+    :param sender: state of the node that has sent the datagram.
+    :param digest: summary of what the sender knows.
+    """
+
+    sender: NodeInfo
+    digest: StateDigest
+
+
+class Ping(FleetMessage, tag="ping", rename={"sender": "s", "digest": "d", "number": "n"}):
+    """Requests an :class:`Ack`.
+
+    :param number: number of the ping, which the reply repeats.
+    """
+
+    number: int
+
+
+class PingRequest(FleetMessage, tag="ping-request", rename={"sender": "s", "digest": "d"}):
+    """Requests that the receiver pings a node that does not answer the sender.
+
+    :param number: number of the sender's own ping.
+    :param address: datagram address of the node that does not answer.
+    """
+
+    number: int
+    address: str
+
+
+class Ack(FleetMessage, tag="ack", rename={"sender": "s", "digest": "d", "number": "n"}):
+    """Answers a :class:`Ping`, directly or on behalf of the node that was pinged.
 
+    :param suspected: whether the receiver is suspected of having failed.
+    :param answering_id: VM of the node that was pinged.
+    """
 
-class DepartureNotice(Message, tag="departure"):
-    """Reports that a server is leaving, according to one of its own responses."""
+    number: int
+    answering_id: str
+    suspected: bool = False
 
-    departure: Departure
 
+class NodesRequest(FleetMessage, tag="nodes-request", rename={"sender": "s", "digest": "d"}):
+    """Requests the states of nodes that differ between the receiver and the sender.
 
-class TableNotice(Message, tag="table"):
-    """Sends a new routing table from the node that read it from the store to its peers."""
+    :param group_hashes: hashes of the sender's groups of nodes.
+    """
 
-    table: RoutingTable
+    group_hashes: list[int]
 
 
-class ServersNotice(Message, tag="servers"):
-    """Sends changes of the server list from the node that read them from the store to its peers.
+class ServersNotice(msgspec.Struct, kw_only=True, frozen=True):
+    """Changes of the server list.
 
-    :param begin: store position of the first change.
-    :param end: store position after the last change.
-    :param age_s: time since the read began, in seconds.
+    :param begin: store position up to which a receiver must know the list.
+    :param end: store position after the changes.
     """
 
     begin: StorePosition
     end: StorePosition
-    age_s: float
     changes: list[ServerChange]
 
 
+class Update(FleetMessage, tag="update", rename={"sender": "s", "digest": "d"}):
+    """News that each receiver forwards once to a few other nodes.
+
+    :param nodes: new states of nodes.
+    :param suspected: VM ids and versions of nodes that are suspected of having failed.
+    :param departures: servers that are leaving, according to their own responses.
+    """
+
+    nodes: list[NodeInfo] = []
+    suspected: list[tuple[str, int]] = []
+    departures: list[Departure] = []
+    servers: ServersNotice | None = None
+
+
+class StateRequest(Message, tag="state-request"):
+    """Requests the routing table and the server list, as far as they are newer.
+
+    :param table_version: version of the sender's routing table, -1 for none.
+    :param servers_position: store position up to which the sender knows the server list.
+    """
+
+    table_version: int
+    servers_position: StorePosition
+
+
+class StateReply(Message, tag="state-reply"):
+    """Reply to :class:`StateRequest`.
+
+    :param table: compressed routing table, empty if the sender's is as new.
+    :param servers: the changes that the sender lacks, ``None`` if there are none or if *listings*
+        is set.
+    :param listings: the whole server list, ``None`` if the changes suffice.
+    :param servers_position: store position up to which the replying node knows the list.
+    :param servers_age_s: time since a read of the store confirmed the list, in seconds.
+    :param departures: servers that have left or are leaving.
+    """
+
+    table: bytes = b""
+    servers: ServersNotice | None = None
+    listings: list[ServerListing] | None = None
+    servers_position: StorePosition = UNKNOWN_POSITION
+    servers_age_s: float = float("inf")
+    departures: list[Departure] = []
+
+
 class LoadReportItem(msgspec.Struct, array_like=True, frozen=True):
     """Load report that a node has received from a server.
 
@@ -318,10 +393,13 @@
     | LedgerConfirmation
     | InForceRequest
     | InForceReply
-    | NodeGossip
-    | TableNotice
-    | ServersNotice
-    | DepartureNotice
+    | Ping
+    | PingRequest
+    | Ack
+    | NodesRequest
+    | Update
+    | StateRequest
+    | StateReply
     | LoadNotice
     | DumpRequest
     | DumpReply
--- a/src/jasmineseam/platform/settings.py
+++ b/src/jasmineseam/platform/settings.py
@@ -142,7 +142,10 @@
             notices=f"{file.own.ip}:{file.network.own_ports[0]}",
         ),
         store_address=file.platform.platform.address,
-        seed_peers=file.network.seeds,
+        # A seed is the address for requests of other nodes; ports are the same on all VMs.
+        seed_peers=[
+            f"{seed.rpartition(':')[0]}:{file.network.own_ports[0]}" for seed in file.network.seeds
+        ],
         retries=RetryBudgetSettings(
             share=bounds.ratio,
             allowance=bounds.slack,
--- a/src/jasmineseam/programs/dispatchers.py
+++ b/src/jasmineseam/programs/dispatchers.py
@@ -7,14 +7,23 @@
 import typing as t
 
 from ..measuring.load_reports import DetailedLoadReport
+from ..membership.registry import RegisteredServer
 from ..membership.registry import ServerRegistry
 from ..routing.dispatch import Dispatcher
 from ..routing.load import ServerLoad
+from ..routing.subsets import SubsetMember
+from ..routing.subsets import choose_subset
+
+# time for which a server outside of the subset is used
+BORROW_TIME_S = 3.0
+# Without load notices of other nodes, the newest report counts as occupancy for this time.
+REPORT_LIFETIME_S = 1.0
 
 
 class Dispatchers:
     """Holds one dispatcher for each service in the routing table.
 
+    :param node_id: the VM of this node.
     :param failure_domain: the failure domain of this node.
     :param registry: the registered servers.
     :param on_server_replaced: called with the address of a server that has restarted.
@@ -23,10 +32,12 @@
     def __init__(
         self,
         *,
+        node_id: str,
         failure_domain: str,
         registry: ServerRegistry,
         on_server_replaced: t.Callable[[str], None] = lambda address: None,
     ) -> None:
+        self._node_id = node_id
         self._failure_domain = failure_domain
         self._registry = registry
         self._on_server_replaced = on_server_replaced
@@ -35,8 +46,13 @@
         self._paused_until: dict[tuple[str, int], float] = {}
         self._rng = random.Random()
         self._by_service: dict[str, Dispatcher] = {}
-        # Number of nodes that send requests to the same servers.
+        # Called with a dispatcher when one of its requests has to wait for a server.
+        self.on_queued: t.Callable[[Dispatcher], None] = lambda dispatcher: None
+        # Number of all nodes, and of those in this node's failure domain.
         self.node_count = 1
+        self._local_node_count = 1
+        # Whether this node uses all servers, whose load the nodes tell each other.
+        self._shared = True
 
     def list_all(self) -> list[Dispatcher]:
         """Return all dispatchers."""
@@ -52,16 +68,51 @@
                 clock=time.monotonic,
                 rng=self._rng,
             )
-            dispatcher.node_count = self.node_count
+            dispatcher.on_queued = self.on_queued
             self._by_service[service] = dispatcher
             self._refresh_dispatcher(dispatcher)
         return dispatcher
 
-    def set_node_count(self, count: int) -> None:
-        """Set the number of nodes that send requests to the same servers."""
-        self.node_count = count
+    def set_node_counts(self, node_count: int, local_node_count: int, *, shared: bool) -> None:
+        """Set how many nodes use the same servers.
+
+        :param node_count: the number of all nodes.
+        :param local_node_count: the number of nodes in this node's failure domain.
+        :param shared: whether every node uses all servers, whose load the nodes tell each other.
+        """
+        counts = (node_count, local_node_count, shared)
+        if counts == (self.node_count, self._local_node_count, self._shared):
+            return
+        self.node_count, self._local_node_count, self._shared = counts
         for dispatcher in self._by_service.values():
-            dispatcher.node_count = count
+            self._refresh_dispatcher(dispatcher)
+
+    def borrow_servers(self, dispatcher: Dispatcher, count: int) -> list[ServerLoad]:
+        """Add servers outside of this node's subset for a while; return them.
+
+        :param count: the maximum number of servers to add.
+        """
+        others = [
+            registered
+            for registered in self._registry.list_usable(dispatcher.service)
+            if registered.server.server_id not in dispatcher.loads
+        ]
+        now = time.monotonic()
+        borrowed = []
+        for registered in self._rng.sample(others, min(count, len(others))):
+            load = self._create_load(registered, now)
+            load.borrowed_until = now + BORROW_TIME_S
+            dispatcher.loads[load.server_id] = load
+            borrowed.append(load)
+        return borrowed
+
+    def expire_borrowed(self) -> None:
+        """Remove the borrowed servers that this node no longer uses."""
+        now = time.monotonic()
+        for dispatcher in self._by_service.values():
+            for server_id, load in list(dispatcher.loads.items()):
+                if load.borrowed_until is not None and not _is_borrowed(load, now):
+                    del dispatcher.loads[server_id]
 
     def find_server_load(self, server_id: str) -> tuple[Dispatcher, ServerLoad] | None:
         """Return the dispatcher and the load state of a server, ``None`` if it is unknown."""
@@ -112,9 +163,14 @@
     def _refresh_dispatcher(self, dispatcher: Dispatcher) -> None:
         now = time.monotonic()
         loads = {}
-        for registered in self._registry.list_usable(dispatcher.service):
+        usable = self._registry.list_usable(dispatcher.service)
+        subset = self._choose_subset(dispatcher, usable)
+        for registered in usable:
             server = registered.server
             load = dispatcher.loads.get(server.server_id)
+            in_subset = subset is None or server.server_id in subset
+            if not in_subset and (load is None or not _is_borrowed(load, now)):
+                continue
             # Load state is created for a new server, and replaced if the address or the start time
             # of the server has changed.
             new_or_moved = load is None or load.address != server.address
@@ -122,15 +178,55 @@
             if not new_or_moved and load.started_ms != started_ms:
                 self._on_server_replaced(server.address)
             if new_or_moved or load.started_ms != started_ms:
-                load = ServerLoad(
-                    server_id=server.server_id,
-                    address=server.address,
-                    failure_domain=server.failure_domain,
-                    slots=registered.listing.slots,
-                    now=now,
-                )
-                load.started_ms = started_ms
-                load.paused_until = self._paused_until.get((server.server_id, started_ms), 0.0)
+                borrowed_until = None if load is None else load.borrowed_until
+                load = self._create_load(registered, now)
+                load.borrowed_until = borrowed_until
+            if in_subset:
+                load.borrowed_until = None
             load.warmup_ends_at = registered.warmup_ends_at
             loads[server.server_id] = load
         dispatcher.loads = loads
+
+    def _choose_subset(
+        self, dispatcher: Dispatcher, usable: list[RegisteredServer]
+    ) -> set[str] | None:
+        """Choose the servers that this node uses, ``None`` for all of them."""
+        if self._shared:
+            dispatcher.node_count = self.node_count
+            dispatcher.report_lifetime_s = 0.0
+            return None
+        members = [
+            SubsetMember(registered.server.server_id, registered.server.failure_domain)
+            for registered in usable
+        ]
+        subset = choose_subset(
+            members,
+            node_id=self._node_id,
+            failure_domain=self._failure_domain,
+            node_count=self.node_count,
+            local_node_count=self._local_node_count,
+        )
+        dispatcher.node_count = max(1.0, self.node_count * len(subset) / max(1, len(usable)))
+        dispatcher.report_lifetime_s = REPORT_LIFETIME_S
+        return set(subset)
+
+    def _create_load(self, registered: RegisteredServer, now: float) -> ServerLoad:
+        server = registered.server
+        started_ms = registered.listing.started_ms
+        load = ServerLoad(
+            server_id=server.server_id,
+            address=server.address,
+            failure_domain=server.failure_domain,
+            slots=registered.listing.slots,
+            now=now,
+        )
+        load.started_ms = started_ms
+        load.paused_until = self._paused_until.get((server.server_id, started_ms), 0.0)
+        load.warmup_ends_at = registered.warmup_ends_at
+        return load
+
+
+def _is_borrowed(load: ServerLoad, now: float) -> bool:
+    if load.borrowed_until is None:
+        return False
+    return now < load.borrowed_until or bool(load.request_start_times)
--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -23,6 +23,7 @@
 from ..requests.protocol import ResponseHead
 from ..requests.protocol import ServerResponse
 from ..routing.caller_timeout import CallerTimeoutEstimator
+from ..routing.dispatch import Dispatcher
 from ..routing.dispatch import PlacementRequest
 from ..routing.load import ServerLoad
 from ..routing.routes import CallerLimits
@@ -75,6 +76,7 @@
 class Gateway:
     """Forwards callers' requests to backend servers and returns their responses.
 
+    :param node_id: the VM of this node.
     :param failure_domain: the failure domain of this node.
     :param header_codec: decodes and encodes the headers of requests and responses.
     :param registry: the registered servers.
@@ -89,6 +91,7 @@
     def __init__(
         self,
         *,
+        node_id: str,
         failure_domain: str,
         header_codec: HeaderCodec,
         registry: ServerRegistry,
@@ -107,6 +110,7 @@
         self._timeout_estimators: dict[str, CallerTimeoutEstimator] = {}
         self._retry_budgets: dict[str, SlidingWindowRetryBudget] = {}
         self.dispatchers = Dispatchers(
+            node_id=node_id,
             failure_domain=failure_domain,
             registry=registry,
             on_server_replaced=lambda address: self.connections.discard(address),
@@ -121,6 +125,10 @@
         self._on_server_leaving = on_server_leaving
         # While set, each response closes its caller connection.
         self.draining = False
+        # Obtains fresh load reports before a request is placed.
+        self.refresh_loads: t.Callable[[Dispatcher, PlacementRequest], t.Awaitable[None]] = (
+            _keep_loads
+        )
         self.in_flight = 0
         # Called with the duration of each request in seconds and its metric attributes.
         self.record_duration: t.Callable[[float, dict[str, str]], None] = lambda *_: None
@@ -314,7 +322,9 @@
             ):
                 break
             try:
-                load = await proxied.dispatcher.place(self._build_placement_request(proxied))
+                placement_request = self._build_placement_request(proxied)
+                await self.refresh_loads(proxied.dispatcher, placement_request)
+                load = await proxied.dispatcher.place(placement_request)
             except NotRunError as error:
                 if last_result is None:
                     raise
@@ -391,14 +401,27 @@
             overdue = now - started_at > HEDGE_OVERDUE_FACTOR * proxied.service_time_s
             if not overdue and load.get_fresh_slowness(now) < HEDGE_MIN_SLOWNESS:
                 return None
-            time_to_target_s = proxied.target_at - now
-            hedge_server = dispatcher.choose_hedge_server(
-                proxied.excluded_server_ids, proxied.service_time_s, time_to_target_s
-            )
+            if dispatcher.report_lifetime_s > 0.0:
+                return send_probed_hedge()
+            hedge_server = choose_server()
             if hedge_server is None or not budget.take_attempt(HEDGE_RESERVED_BUDGET_FRACTION):
                 return None
             return self._server_client.send_attempt(proxied, hedge_server)
 
+        def choose_server() -> ServerLoad | None:
+            return dispatcher.choose_hedge_server(
+                proxied.excluded_server_ids,
+                proxied.service_time_s,
+                proxied.target_at - time.monotonic(),
+            )
+
+        async def send_probed_hedge() -> ServerResponse:
+            await self.refresh_loads(dispatcher, self._build_placement_request(proxied))
+            hedge_server = choose_server()
+            if hedge_server is None or not budget.take_attempt(HEDGE_RESERVED_BUDGET_FRACTION):
+                raise AttemptNotRunError("no-hedge")
+            return await self._server_client.send_attempt(proxied, hedge_server)
+
         return await race_attempts(
             first_attempt,
             delay_s=HEDGE_CHECK_INTERVAL_S,
@@ -426,6 +449,10 @@
         return build_not_run_response(NotRunError("fault", 503, INTERNAL_ERROR_RETRY_AFTER_S))
 
 
+async def _keep_loads(dispatcher: Dispatcher, request: PlacementRequest) -> None:
+    """Leave the load reports as they are."""
+
+
 def _is_success(response: ServerResponse) -> bool:
     return response.status < MIN_SERVER_ERROR_STATUS
 
--- a/src/jasmineseam/programs/load_exchange.py
+++ b/src/jasmineseam/programs/load_exchange.py
@@ -9,10 +9,12 @@
 from ..measuring.load_reports import DetailedLoadReport
 from ..peers.messages import LoadNotice
 from ..peers.messages import LoadReportItem
-from ..peers.messages import Message
 from .dispatchers import Dispatchers
 
-LOAD_NOTICE_INTERVAL_S = 0.02
+# Interval of the check whether load data is exchanged again.
+IDLE_INTERVAL_S = 0.5
+# Reports and counts in one notice, so that it fits into a datagram.
+MAX_ITEMS_PER_NOTICE = 20
 # A load report from a peer is ignored if it is older than this on arrival, since it no longer
 # describes the current load.
 MAX_REPORT_AGE_S = 1.0
@@ -41,20 +43,17 @@
         """Record how many requests this node has in flight at a server."""
         self._in_flight_counts[server_id] = count
 
-    def pop_notice(self, vm_id: str, now: float) -> LoadNotice | None:
-        """Return a notice with all changes since the last one and clear the buffer.
+    def pop_notices(self, vm_id: str, now: float) -> list[LoadNotice]:
+        """Return notices with all changes since the last ones and clear the buffer.
 
-        :param vm_id: the VM that sends the notice.
+        :param vm_id: the VM that sends the notices.
         :param now: current monotonic time, in seconds.
-        :returns: ``None`` if nothing has changed.
         """
         counts = [
             (server_id, count)
             for server_id, count in self._in_flight_counts.items()
             if self._sent_in_flight_counts.get(server_id) != count
         ]
-        if not counts and not self._reports:
-            return None
         reports = [
             _build_report_item(server_id, report, now - observed_at)
             for server_id, (report, observed_at) in self._reports.items()
@@ -62,7 +61,14 @@
         self._sent_in_flight_counts.update(counts)
         self._in_flight_counts.clear()
         self._reports.clear()
-        return LoadNotice(vm_id=vm_id, reports=reports, counts=counts)
+        return [
+            LoadNotice(
+                vm_id=vm_id,
+                reports=reports[start : start + MAX_ITEMS_PER_NOTICE],
+                counts=counts[start : start + MAX_ITEMS_PER_NOTICE],
+            )
+            for start in range(0, max(len(reports), len(counts)), MAX_ITEMS_PER_NOTICE)
+        ]
 
 
 class LoadExchange:
@@ -80,12 +86,14 @@
         vm_id: str,
         updates: LoadUpdateBuffer,
         dispatchers: Dispatchers,
-        broadcast: t.Callable[[Message], None],
+        broadcast: t.Callable[[LoadNotice], None],
     ) -> None:
         self._vm_id = vm_id
         self.updates = updates
         self._dispatchers = dispatchers
         self._broadcast = broadcast
+        # interval between notices in seconds, ``None`` if no load data is exchanged
+        self.interval_s: float | None = None
 
     def apply_notice(self, notice: LoadNotice) -> None:
         """Apply the load data of a peer."""
@@ -112,9 +120,11 @@
     async def broadcast_forever(self) -> None:
         """Broadcast changed load data periodically until cancelled."""
         while True:
-            await asyncio.sleep(LOAD_NOTICE_INTERVAL_S)
-            notice = self.updates.pop_notice(self._vm_id, time.monotonic())
-            if notice is not None:
+            await asyncio.sleep(self.interval_s or IDLE_INTERVAL_S)
+            notices = self.updates.pop_notices(self._vm_id, time.monotonic())
+            if self.interval_s is None:
+                continue
+            for notice in notices:
                 self._broadcast(notice)
 
 
--- a/src/jasmineseam/programs/load_prober.py
+++ b/src/jasmineseam/programs/load_prober.py
@@ -1,11 +1,14 @@
 """Probing the load of servers.
 
-Each server is assigned to one node, which probes it and sends the reports to the other nodes.
+While the nodes share load reports, each server is assigned to one node, which probes it and sends
+the reports to the other nodes. Otherwise a node probes a few servers just before it places a
+request, and again while requests wait for a server.
 """
 
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 import typing as t
 
@@ -13,19 +16,33 @@
 from multidict import CIMultiDict
 
 from ..exceptions import AttemptError
+from ..exceptions import AttemptNotRunError
 from ..measuring.probe_assignment import ProberCandidate
 from ..measuring.probe_assignment import compute_probe_interval_s
 from ..operations.node_settings import ProbeOptions
 from ..requests.protocol import HeaderCodec
 from ..requests.protocol import ResponseHead
 from ..routing.dispatch import Dispatcher
+from ..routing.dispatch import PlacementRequest
 from ..routing.load import ServerLoad
 from ..transport.response_memory import ResponseMemory
 from .gateway import Gateway
 from .load_exchange import LoadUpdateBuffer
 
-# Interval at which the prober checks which probes are due.
+# Interval at which the prober checks which probes are due, while probes are shared.
 PROBE_POLL_INTERVAL_S = 0.01
+# Interval at which it checks whether probes are shared.
+IDLE_INTERVAL_S = 0.5
+# servers that are probed before a request is placed
+PROBES_PER_PLACEMENT = 4
+# A request waits at most this long for the reports.
+PROBE_WAIT_S = 0.025
+# interval between the probes for requests that wait for a server
+QUEUE_PROBE_INTERVAL_S = 0.02
+# A younger report is not refreshed.
+MIN_REPORT_AGE_S = 0.01
+# part of the limit on probes to a server that nodes use for probes before a placement
+PLACEMENT_PROBES_FRACTION = 0.8
 PROBE_TIMEOUT_S = 0.5
 ASSIGNMENT_REFRESH_INTERVAL_S = 0.25
 MAX_PROBE_BODY_BYTES = 65_536
@@ -73,6 +90,12 @@
         self._probe_intervals_s: dict[str, float] = {}
         self._assignments_refreshed_at = float("-inf")
         self._probe_tasks: dict[str, asyncio.Task] = {}
+        # tasks that probe for waiting requests, by service
+        self._queue_tasks: dict[str, asyncio.Task] = {}
+        self._rng = random.Random()
+        # whether the nodes send each other load reports
+        self.shared = True
+        gateway.dispatchers.on_queued = self._handle_queued_request
         self.sent_count = 0
         self.failed_count = 0
         self.stopped = False
@@ -80,8 +103,8 @@
     async def probe_forever(self) -> None:
         """Send probes as they become due, until cancelled."""
         while True:
-            await asyncio.sleep(PROBE_POLL_INTERVAL_S)
-            if self.stopped:
+            await asyncio.sleep(PROBE_POLL_INTERVAL_S if self.shared else IDLE_INTERVAL_S)
+            if self.stopped or not self.shared:
                 continue
             now = time.monotonic()
             if now - self._assignments_refreshed_at >= ASSIGNMENT_REFRESH_INTERVAL_S:
@@ -89,6 +112,72 @@
             for dispatcher in self._gateway.dispatchers.list_all():
                 self._start_due_probes(dispatcher, now)
 
+    async def refresh_loads(self, dispatcher: Dispatcher, request: PlacementRequest) -> None:
+        """Obtain reports of a few servers for the placement of a request.
+
+        If none of this node's servers suits the request, servers outside of its subset are used
+        as well. Nothing is done while reports are shared.
+        """
+        if self.shared or self.stopped:
+            return
+        await self._probe_sample(dispatcher, request.excluded_server_ids)
+        if dispatcher.has_suitable_server(request):
+            return
+        borrowed = self._gateway.dispatchers.borrow_servers(dispatcher, PROBES_PER_PLACEMENT)
+        await self._probe_all(dispatcher, borrowed)
+
+    def _handle_queued_request(self, dispatcher: Dispatcher) -> None:
+        if self.shared or self.stopped or dispatcher.service in self._queue_tasks:
+            return
+        task = asyncio.create_task(self._probe_while_queued(dispatcher))
+        self._queue_tasks[dispatcher.service] = task
+        task.add_done_callback(lambda _: self._queue_tasks.pop(dispatcher.service, None))
+
+    async def _probe_while_queued(self, dispatcher: Dispatcher) -> None:
+        while dispatcher.count_queued():
+            await asyncio.sleep(QUEUE_PROBE_INTERVAL_S)
+            await self._probe_sample(dispatcher, set())
+            if not dispatcher.count_queued():
+                return
+            borrowed = self._gateway.dispatchers.borrow_servers(dispatcher, 1)
+            await self._probe_all(dispatcher, borrowed)
+
+    async def _probe_sample(self, dispatcher: Dispatcher, excluded_ids: set[str]) -> None:
+        now = time.monotonic()
+        min_interval_s = self._compute_min_interval_s(dispatcher)
+        candidates = [
+            load
+            for load in dispatcher.loads.values()
+            if load.server_id not in excluded_ids
+            and now >= load.get_available_at()
+            and now - load.reported_at > MIN_REPORT_AGE_S
+            and now - load.last_probe_at >= min_interval_s
+            and load.server_id not in self._probe_tasks
+        ]
+        count = min(PROBES_PER_PLACEMENT, len(candidates))
+        await self._probe_all(dispatcher, self._rng.sample(candidates, count))
+
+    async def _probe_all(self, dispatcher: Dispatcher, loads: list[ServerLoad]) -> None:
+        if not loads or self.max_probes_per_s <= 0.0:
+            return
+        tasks = [self._start_probe(dispatcher, load) for load in loads]
+        await asyncio.wait(tasks, timeout=PROBE_WAIT_S)
+
+    def _compute_min_interval_s(self, dispatcher: Dispatcher) -> float:
+        """Return the least interval between two probes of a server by this node, in seconds.
+
+        With it, the nodes that use the same servers stay within the limit together.
+        """
+        limit_per_s = max(0.001, PLACEMENT_PROBES_FRACTION * self.max_probes_per_s)
+        return dispatcher.node_count / limit_per_s
+
+    def _start_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> asyncio.Task:
+        load.last_probe_at = time.monotonic()
+        task = asyncio.create_task(self._run_probe(dispatcher, load))
+        self._probe_tasks[load.server_id] = task
+        task.add_done_callback(lambda _, key=load.server_id: self._probe_tasks.pop(key, None))
+        return task
+
     def _refresh_assignments(self, now: float) -> None:
         self._assignments_refreshed_at = now
         self._probe_intervals_s = {}
@@ -119,10 +208,7 @@
                 continue
             if now - load.reported_at < FRESH_REPORT_FRACTION * interval_s:
                 continue
-            load.last_probe_at = now
-            task = asyncio.create_task(self._run_probe(dispatcher, load))
-            self._probe_tasks[load.server_id] = task
-            task.add_done_callback(lambda _, key=load.server_id: self._probe_tasks.pop(key, None))
+            self._start_probe(dispatcher, load)
 
     async def _run_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> None:
         try:
@@ -130,6 +216,10 @@
                 await self._send_probe(dispatcher, load)
         except (AttemptError, TimeoutError) as error:
             self.failed_count += 1
+            if not self.shared:
+                load.unanswered_probe = True
+                if isinstance(error, AttemptNotRunError):
+                    load.eject(time.monotonic())
             _logger.debug(
                 "Load probe of server {} failed; retrying after the probe interval: {!r}",
                 load.server_id,
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import contextlib
+import random
 import time
 import typing as t
 
@@ -17,39 +18,39 @@
 
 from ..exceptions import InvariantError
 from ..exceptions import SettingsError
+from ..measuring.load_sharing import compute_notice_interval_s
 from ..measuring.probe_assignment import ProberCandidate
+from ..membership.nodes import NodeInfo
+from ..membership.nodes import NodeStatus
 from ..membership.registry import Departure
-from ..membership.registry import ServerListing
 from ..membership.registry import ServerRegistry
 from ..membership.store_position import StorePosition
-from ..membership.vms import EntryProcess
-from ..membership.vms import VmInfo
 from ..operations.daemon import Daemon
 from ..operations.node_settings import NodeOptions
 from ..operations.node_settings import NodeSettings
 from ..operations.output import LineOutput
 from ..operations.request_log import RequestLog
-from ..peers.messages import DepartureNotice
+from ..peers.datagrams import DatagramEndpoint
+from ..peers.messages import FleetMessage
 from ..peers.messages import LoadNotice
 from ..peers.messages import Message
-from ..peers.messages import NodeGossip
 from ..peers.messages import RefusedReply
 from ..peers.messages import ServersNotice
-from ..peers.messages import TableNotice
-from ..peers.notices import NoticeReceiver
-from ..peers.notices import NoticeSender
+from ..peers.messages import StateRequest
 from ..requests.protocol import HeaderCodec
 from ..routing.routes import RoutingTable
 from ..transport.caller_connections import CallerServer
+from .fleet import MAX_CHANGES_PER_UPDATE
+from .fleet import Fleet
+from .fleet import FleetHandlers
 from .gateway import Gateway
 from .load_exchange import LoadExchange
 from .load_exchange import LoadUpdateBuffer
 from .load_prober import LoadProber
-from .mesh import PEER_HEARTBEAT_TIMEOUT_S
-from .mesh import PeerMesh
 from .node_endpoints import EndpointConfig
 from .node_endpoints import NodeEndpoints
 from .node_metrics import add_node_metrics
+from .state_sync import StateSynchronizer
 from .store_watcher import MetadataStoreProtocol
 from .store_watcher import NodeRecord
 from .store_watcher import StoreWatcher
@@ -119,12 +120,11 @@
         self.task_restarts: collections.Counter[str] = collections.Counter()
         self._runners: list[web.ServerRunner] = []
         self._caller_server: CallerServer | None = None
-        self.registry = ServerRegistry(
-            clock=time.monotonic, on_change=lambda: self.gateway.refresh_servers()
-        )
+        self.registry = ServerRegistry(clock=time.monotonic, on_change=self._handle_server_change)
         self.load_updates = LoadUpdateBuffer()
         self.request_log = RequestLog(write=output.write, lines_per_s=options.log_lines_per_s)
         self.gateway = Gateway(
+            node_id=settings.vm.id,
             failure_domain=settings.vm.failure_domain,
             header_codec=header_codec,
             registry=self.registry,
@@ -134,26 +134,40 @@
             on_server_leaving=self._report_departure,
             caller_round_trip_s=options.caller_round_trip_s,
         )
-        self._notice_sender = NoticeSender(context=self.zmq_context)
-        self._notice_receiver: NoticeReceiver | None = None
-        self.mesh = PeerMesh(
+        self.datagrams = DatagramEndpoint(handler=self._handle_datagram)
+        self.state_sync = StateSynchronizer(
+            registry=self.registry,
             peer_clients=self.peer_clients,
-            notice_sender=self._notice_sender,
-            own_address=settings.listeners.peers,
-            get_own_vm_info=self._build_vm_info,
-            on_routing_table=self._apply_routing_table,
-            on_server_list=self._apply_server_list,
-            on_departures=self._apply_departures,
-            list_departures=self.registry.list_departures,
+            get_table=lambda: self.gateway.routing_table,
+            apply_table=self._apply_routing_table,
+        )
+        self.fleet = Fleet(
+            own=NodeInfo(
+                vm_id=settings.vm.id,
+                version=time.time_ns() // 1_000_000,
+                failure_domain=settings.vm.failure_domain,
+                entry_address=settings.listeners.entry,
+                notice_address=settings.listeners.notices,
+                peer_address=settings.listeners.peers,
+            ),
+            contacts=settings.seed_peers,
+            send=self.datagrams.send,
+            handlers=FleetHandlers(
+                get_digest=self.state_sync.build_digest,
+                on_digest=self.state_sync.handle_digest,
+                add_departures=self._add_departures,
+                apply_servers=self.state_sync.apply_notice,
+                on_nodes_changed=self._apply_node_count,
+            ),
+            clock=time.monotonic,
+            rng=random.Random(),
         )
         self.load_exchange = LoadExchange(
             vm_id=settings.vm.id,
             updates=self.load_updates,
             dispatchers=self.gateway.dispatchers,
-            broadcast=self.mesh.broadcast_notice,
+            broadcast=self._broadcast_load,
         )
-        self.mesh.get_server_list_age_s = self._get_server_list_age_s
-        self.mesh.get_server_list = lambda: (self.registry.list_listings(), self.registry.position)
 
     @property
     def ready(self) -> bool:
@@ -165,21 +179,19 @@
     async def on_start(self) -> None:
         """Start the listeners and the tasks that track the store, the peers and server load."""
         await super().on_start()
-        self._notice_receiver = NoticeReceiver(
-            context=self.zmq_context,
-            address=self.settings.listeners.notices,
-            handler=self._handle_notice,
-        )
+        await self.datagrams.open(self.settings.listeners.notices)
         store, self._close_store = self._open_store()
         self.store_watcher = StoreWatcher(
             store=store,
             registry=self.registry,
             on_routing_table=self._apply_routing_table,
-            broadcast=self.mesh.broadcast_notice,
-            get_rank=self._compute_live_node_rank_by_id,
-            add_peer=self.mesh.add_peer,
+            on_server_changes=self._publish_server_changes,
+            on_departures=lambda departures: self.fleet.publish(departures=departures),
+            get_rank=self.fleet.get_reader_rank,
+            set_reachable=lambda reachable: self.fleet.update_own(reads_store=reachable),
+            add_contact=self.fleet.add_contact,
             own_record=NodeRecord(
-                vm_id=self.settings.vm.id, peer_address=self.settings.listeners.peers
+                vm_id=self.settings.vm.id, peer_address=self.settings.listeners.notices
             ),
         )
         self.prober = LoadProber(
@@ -191,26 +203,26 @@
             max_probes_per_s=self.settings.probes_per_s,
             list_prober_candidates=self._list_prober_candidates,
         )
-        for address in self.settings.seed_peers:
-            self.mesh.add_peer(address)
+        self.gateway.refresh_loads = self.prober.refresh_loads
+        self._apply_node_count()
         for run_forever in (
             self.store_watcher.watch_routing_table,
             self.store_watcher.watch_servers,
             self._watch_nodes,
+            self.fleet.run_forever,
             self.prober.probe_forever,
             self.load_exchange.broadcast_forever,
             self._run_maintenance_forever,
             self._output.flush_periodically,
         ):
             self.add_future(self._run_supervised(run_forever))
-        self._notice_receiver.start()
         await self._start_listeners()
         add_node_metrics(self.meter_provider, self, self._output)
 
     async def handle_message(self, message: Message) -> Message:
         """Handle a request of another node."""
-        if isinstance(message, NodeGossip):
-            return self.mesh.handle_gossip(message)
+        if isinstance(message, StateRequest):
+            return self.state_sync.handle_request(message)
         return RefusedReply(reason=f"node takes no {type(message).__name__}")
 
     def reload(self) -> None:
@@ -231,19 +243,14 @@
         self.gateway.set_retry_limits(settings.retries)
         self.prober.max_probes_per_s = settings.probes_per_s
         for address in settings.seed_peers:
-            self.mesh.add_peer(address)
+            self.fleet.add_contact(address)
         self.logger.info("Settings reloaded.")
 
-    def _handle_notice(self, message: Message) -> None:
-        if isinstance(message, LoadNotice):
-            self.mesh.membership.refresh_heartbeat(message.vm_id)
+    def _handle_datagram(self, message: Message) -> None:
+        if isinstance(message, FleetMessage):
+            self.fleet.handle(message)
+        elif isinstance(message, LoadNotice):
             self.load_exchange.apply_notice(message)
-        elif isinstance(message, ServersNotice):
-            self.store_watcher.apply_notice(message)
-        elif isinstance(message, DepartureNotice):
-            self._apply_departures([message.departure])
-        elif isinstance(message, TableNotice):
-            self._apply_routing_table(message.table, "peer")
 
     async def stop_gracefully(self) -> None:
         """Announce the stop to the peers, stop listening, and wait for running requests to finish.
@@ -254,7 +261,7 @@
         grace_s = self.settings.grace_s
         self._leaving = True
         self.gateway.draining = True
-        self.mesh.gossip_now()
+        self._publish_own_state(urgent=True)
         await asyncio.sleep(LISTENING_GRACE_FRACTION * grace_s)
         self.prober.stopped = True
         # The first runner is that of the listener for callers' requests.
@@ -273,9 +280,9 @@
 
     async def on_stop(self) -> None:
         """Close all listeners, connections and the metadata store."""
-        self.mesh.close()
-        self._notice_receiver.close()
-        self._notice_sender.close()
+        self.fleet.close()
+        self.state_sync.close()
+        self.datagrams.close()
         for runner in self._runners:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(0.1):
@@ -297,10 +304,8 @@
             "in_flight": self.gateway.in_flight,
             "task_restarts": dict(self.task_restarts),
             "outcomes": dict(self.gateway.outcome_counts),
-            "nodes": {
-                vm.vm_id: round(self.mesh.membership.get_heartbeat_age_s(vm.vm_id), 3)
-                for vm in self.mesh.membership.list_known()
-            },
+            "nodes": self.fleet.membership.list_statuses(),
+            "reads_store": self.store_watcher.is_reader(),
             "services": {
                 dispatcher.service: {
                     "queued": dispatcher.count_queued(),
@@ -319,45 +324,19 @@
             "probes": {"sent": self.prober.sent_count, "failed": self.prober.failed_count},
         }
 
-    def _build_vm_info(self) -> VmInfo:
-        entry = EntryProcess(
-            incarnation=self.incarnation,
-            http_address=self.settings.listeners.entry,
-            control_address=self.settings.listeners.peers,
-            key_prefix="",
-            in_flight=self.gateway.in_flight,
-        )
-        return VmInfo(
-            vm_id=self.settings.vm.id,
-            incarnation=self.incarnation,
-            failure_domain=self.settings.vm.failure_domain,
-            agent_address=self.settings.listeners.peers,
-            ready=self.ready,
-            leaving=self._leaving,
-            entries=[entry],
-            notice_address=self.settings.listeners.notices,
-        )
-
-    def _compute_live_node_rank_by_id(self) -> int:
-        ids = sorted(vm.vm_id for vm in self.mesh.membership.list_live())
-        own = self.settings.vm.id
-        return sum(vm_id < own for vm_id in ids)
-
-    def _get_server_list_age_s(self) -> float:
-        return self.registry.get_list_age_s() if self.registry.loaded else float("inf")
-
     def _list_prober_candidates(self) -> list[ProberCandidate]:
         vm = self.settings.vm
         candidates = [ProberCandidate(vm_id=vm.id, failure_domain=vm.failure_domain)]
-        for info in self.mesh.membership.list_known():
-            if info.leaving or info.vm_id == vm.id:
+        membership = self.fleet.membership
+        statuses = membership.list_statuses()
+        for info in (*membership.list_peers(), *membership.list_failed()):
+            if info.leaving:
                 continue
-            reachable = (
-                self.mesh.membership.get_heartbeat_age_s(info.vm_id) < PEER_HEARTBEAT_TIMEOUT_S
-            )
             candidates.append(
                 ProberCandidate(
-                    vm_id=info.vm_id, failure_domain=info.failure_domain, reachable=reachable
+                    vm_id=info.vm_id,
+                    failure_domain=info.failure_domain,
+                    reachable=statuses[info.vm_id] == NodeStatus.ALIVE.value,
                 )
             )
         return candidates
@@ -365,40 +344,73 @@
     def _apply_routing_table(self, table: RoutingTable, source: str) -> bool:
         applied = self.gateway.apply_routing_table(table)
         if applied:
-            self.mesh.routing_table = table
             self.logger.info(
                 "Applied routing table version {:08x} with {} routes from {}.",
                 table.version,
                 len(table.routes),
                 source,
             )
+            self._publish_own_state(urgent=True)
         return applied
 
+    def _handle_server_change(self) -> None:
+        self.gateway.refresh_servers()
+        if self.fleet.membership.own.ready != self.ready:
+            self._publish_own_state()
+
+    def _publish_own_state(self, *, urgent: bool = False) -> None:
+        """Publish the own state; its message tells other nodes which table this node has."""
+        self.fleet.update_own(ready=self.ready, leaving=self._leaving)
+        self.fleet.publish(nodes=[self.fleet.membership.own], urgent=urgent)
+
+    def _publish_server_changes(self, notice: ServersNotice) -> None:
+        """Spread changes of the server list, in parts that fit into a datagram.
+
+        Without enough positions between begin and end for the parts, nothing is sent, and the
+        other nodes request the changes when they see the new position.
+        """
+        self.state_sync.change_log.append(notice)
+        changes = notice.changes
+        parts = [
+            changes[start : start + MAX_CHANGES_PER_UPDATE]
+            for start in range(0, len(changes), MAX_CHANGES_PER_UPDATE)
+        ]
+        timeline, end_offset = notice.end
+        first_offset = end_offset - len(parts) + 1
+        if not parts or StorePosition(timeline, first_offset) <= notice.begin:
+            self._publish_own_state(urgent=True)
+            return
+        begin = notice.begin
+        for number, part in enumerate(parts):
+            end = StorePosition(timeline, first_offset + number)
+            self.fleet.publish(servers=ServersNotice(begin=begin, end=end, changes=part))
+            begin = end
+
     def _report_departure(self, server_id: str, started_ms: int) -> None:
-        """Record and broadcast that a server has reported its departure in a response."""
+        """Record and spread that a server has reported its departure in a response."""
         departure = Departure(server_id=server_id, started_ms=started_ms)
         if self.registry.add_departure(departure):
             self.logger.info(
                 "Server {} reports that it is leaving; it gets no new requests.", server_id
             )
-            self.mesh.broadcast_notice(DepartureNotice(departure=departure))
+            self.fleet.publish(departures=[departure], urgent=True)
 
-    def _apply_departures(self, departures: list[Departure]) -> None:
-        for departure in departures:
-            self.registry.add_departure(departure)
+    def _add_departures(self, departures: list[Departure]) -> list[Departure]:
+        return [departure for departure in departures if self.registry.add_departure(departure)]
 
-    def _apply_server_list(
-        self, listings: list[ServerListing], position: StorePosition, age_s: float
-    ) -> None:
-        if age_s > self._get_server_list_age_s() or position < self.registry.position:
-            return
-        self.registry.mark_confirmed(age_s)
-        self.registry.replace_listings(listings, position)
-        self.logger.info(
-            "Applied a server list with {} servers from a peer; the list is {:.2f} s old.",
-            len(listings),
-            age_s,
-        )
+    def _broadcast_load(self, notice: LoadNotice) -> None:
+        addresses = [info.notice_address for info in self.fleet.membership.list_peers()]
+        self.datagrams.send_to_all(addresses, notice)
+
+    def _apply_node_count(self) -> None:
+        """Adapt limits, subsets and the exchange of load to the number of nodes."""
+        membership = self.fleet.membership
+        count = membership.count()
+        local_count = membership.count(self.settings.vm.failure_domain)
+        interval_s = compute_notice_interval_s(count)
+        self.load_exchange.interval_s = interval_s
+        self.prober.shared = interval_s is not None
+        self.gateway.dispatchers.set_node_counts(count, local_count, shared=self.prober.shared)
 
     async def _run_supervised(self, run_forever: t.Callable[[], t.Awaitable[None]]) -> None:
         """Run a background task, and start it again after an unexpected error.
@@ -420,25 +432,27 @@
             await asyncio.sleep(TASK_RESTART_DELAY_S)
 
     async def _watch_nodes(self) -> None:
-        await self.store_watcher.watch_nodes(lambda: len(self.mesh.membership.list_known()) > 0)
+        await self.store_watcher.watch_nodes(lambda: len(self.fleet.membership.list_peers()) > 0)
 
     async def _run_maintenance_forever(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            self.gateway.dispatchers.set_node_count(self.mesh.count_nodes())
+            self._apply_node_count()
+            self.fleet.update_own(ready=self.ready, leaving=self._leaving)
+            self.state_sync.close_idle_connections()
+            self.gateway.dispatchers.expire_borrowed()
             addresses = {listing.server.address for listing in self.registry.list_listings()}
             self.gateway.connections.expire_connections(addresses)
             limits = self.gateway.caller_limits
             self._caller_server.close_idle_connections(limits.idle_timeout_s)
             self._caller_server.time_out_slow_heads(limits.header_timeout_s)
-            self.mesh.remove_expired_peers()
 
     async def _start_listeners(self) -> None:
         listeners = self.settings.listeners
         endpoints = NodeEndpoints(
             config=self._endpoint_config,
             is_ready=lambda: self.ready,
-            list_live_nodes=self.mesh.list_live_nodes,
+            list_live_nodes=self.fleet.membership.list_live,
             get_entries_ttl_s=self._get_entries_ttl_s,
         )
         self._caller_server = CallerServer(self.gateway.handle_request, **HTTP_SERVER_OPTIONS)
--- a/src/jasmineseam/programs/node_endpoints.py
+++ b/src/jasmineseam/programs/node_endpoints.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from ..membership.vms import VmInfo
+from ..membership.nodes import NodeInfo
 from ..operations.metrics import render_metrics
 
 
@@ -44,7 +44,7 @@
         *,
         config: EndpointConfig,
         is_ready: t.Callable[[], bool],
-        list_live_nodes: t.Callable[[], list[VmInfo]],
+        list_live_nodes: t.Callable[[], list[NodeInfo]],
         get_entries_ttl_s: t.Callable[[], float],
     ) -> None:
         self._config = config
@@ -78,10 +78,8 @@
 
     def _list_entry_addresses(self, failure_domain: str) -> list[str]:
         live_nodes = self._list_live_nodes()
-        same_domain = [vm for vm in live_nodes if vm.failure_domain == failure_domain]
-        addresses = [
-            entry.http_address for vm in same_domain or live_nodes for entry in vm.entries
-        ]
+        same_domain = [node for node in live_nodes if node.failure_domain == failure_domain]
+        addresses = [node.entry_address for node in same_domain or live_nodes]
         self._rng.shuffle(addresses)
         return addresses
 
--- /dev/null
+++ b/src/jasmineseam/programs/state_sync.py
@@ -0,0 +1,240 @@
+"""Transfer of the routing table and the server list between nodes.
+
+The digests in the messages of other nodes show which of them knows something newer. This node then
+requests what it lacks from one of them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import time
+import typing as t
+import zlib
+
+import logbook
+import msgspec
+
+from ..exceptions import InvalidMessageError
+from ..exceptions import PeerError
+from ..membership.nodes import NodeInfo
+from ..membership.registry import ServerRegistry
+from ..peers.messages import ServersNotice
+from ..peers.messages import StateDigest
+from ..peers.messages import StateReply
+from ..peers.messages import StateRequest
+from ..peers.rpc import PeerClients
+from ..routing.routes import RoutingTable
+
+REQUEST_TIMEOUT_S = 1.5
+# News of the server list that arrives out of order is complete within this time.
+REORDERING_TIME_S = 0.03
+RETRY_DELAY_S = 0.2
+# A connection to a node is closed if it was not used for this time.
+IDLE_CONNECTION_S = 5.0
+# changes of the server list that are kept for nodes that lack only those
+MAX_KEPT_CHANGES = 1000
+# A table that is larger when decompressed is rejected.
+MAX_TABLE_BYTES = 64 * 1024 * 1024
+NO_TABLE_VERSION = -1
+_logger = logbook.Logger("sync")
+
+
+def compress_table(table: RoutingTable) -> bytes:
+    """Encode and compress a routing table."""
+    return zlib.compress(msgspec.msgpack.encode(table))
+
+
+def decompress_table(data: bytes) -> RoutingTable:
+    """Decode a compressed routing table.
+
+    :raises InvalidMessageError: if the data is malformed or too large.
+
+    >>> table = RoutingTable(version=7, routes=[], services=[])
+    >>> decompress_table(compress_table(table)).version
+    7
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        encoded = decompressor.decompress(data, MAX_TABLE_BYTES)
+        if decompressor.unconsumed_tail:
+            raise InvalidMessageError(f"routing table exceeds {MAX_TABLE_BYTES} bytes")
+        return msgspec.msgpack.decode(encoded, type=RoutingTable)
+    except (zlib.error, msgspec.MsgspecError, RecursionError) as error:
+        raise InvalidMessageError(f"malformed routing table: {error}") from error
+
+
+class ServerChangeLog:
+    """The newest changes of the server list, for nodes that lack only those."""
+
+    __slots__ = ("_change_count", "_notices")
+
+    def __init__(self) -> None:
+        self._notices: collections.deque[ServersNotice] = collections.deque()
+        self._change_count = 0
+
+    def append(self, notice: ServersNotice) -> None:
+        """Add changes that follow those added last."""
+        if self._notices and notice.begin != self._notices[-1].end:
+            self._notices.clear()
+            self._change_count = 0
+        self._notices.append(notice)
+        self._change_count += len(notice.changes)
+        while self._change_count > MAX_KEPT_CHANGES:
+            self._change_count -= len(self._notices.popleft().changes)
+
+    def get_changes_since(self, position) -> ServersNotice | None:
+        """Return all changes after a store position, ``None`` if they are not kept."""
+        following = [notice for notice in self._notices if notice.end > position]
+        if not following or following[0].begin > position:
+            return None
+        changes = [change for notice in following for change in notice.changes]
+        return ServersNotice(begin=position, end=following[-1].end, changes=changes)
+
+
+class StateSynchronizer:
+    """Requests newer state from other nodes, and answers such requests.
+
+    :param registry: the server list of this node.
+    :param peer_clients: connections for requests to other nodes.
+    :param get_table: returns the routing table of this node, ``None`` if it has none.
+    :param apply_table: applies a routing table from the node with the given VM id.
+    """
+
+    def __init__(
+        self,
+        *,
+        registry: ServerRegistry,
+        peer_clients: PeerClients,
+        get_table: t.Callable[[], RoutingTable | None],
+        apply_table: t.Callable[[RoutingTable, str], bool],
+    ) -> None:
+        self._registry = registry
+        self._peer_clients = peer_clients
+        self._get_table = get_table
+        self._apply_table = apply_table
+        self.change_log = ServerChangeLog()
+        # nodes with newer state, and their digests; the one heard last is asked first
+        self._sources: dict[str, tuple[NodeInfo, StateDigest]] = {}
+        self._task: asyncio.Task | None = None
+        self._used_at: dict[str, float] = {}
+        self._compressed_table = (NO_TABLE_VERSION, b"")
+        self.request_count = 0
+
+    def build_digest(self, nodes_hash: int) -> StateDigest:
+        """Return the summary of what this node knows."""
+        registry = self._registry
+        age_ms = min(round(registry.get_list_age_s() * 1000), 2**31)
+        return StateDigest(
+            nodes_hash=nodes_hash,
+            table_version=self._get_table_version(),
+            servers_position=registry.position,
+            servers_age_ms=age_ms if registry.loaded else -1,
+        )
+
+    def handle_digest(self, sender: NodeInfo, digest: StateDigest) -> None:
+        """Confirm the own state by the digest of another node, or request what is newer."""
+        registry = self._registry
+        position = digest.servers_position
+        if (
+            registry.loaded
+            and digest.servers_age_ms >= 0
+            and position.timeline == registry.position.timeline
+            and position <= registry.position
+        ):
+            registry.mark_confirmed(digest.servers_age_ms / 1000, detect_outage=False)
+        if not self._is_newer(digest):
+            return
+        self._sources.pop(sender.vm_id, None)
+        self._sources[sender.vm_id] = (sender, digest)
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._request_newer())
+
+    def handle_request(self, request: StateRequest) -> StateReply:
+        """Return what the requesting node lacks."""
+        registry = self._registry
+        reply = StateReply()
+        if self._get_table_version() > request.table_version:
+            reply.table = self._get_compressed_table()
+        if registry.loaded and registry.position > request.servers_position:
+            reply.servers = self.change_log.get_changes_since(request.servers_position)
+            if reply.servers is None:
+                reply.listings = registry.list_listings()
+        reply.servers_position = registry.position
+        reply.servers_age_s = registry.get_list_age_s()
+        reply.departures = registry.list_departures()
+        return reply
+
+    def apply_notice(self, notice: ServersNotice) -> bool:
+        """Apply changes of the server list; return whether they were new and complete."""
+        applied = self._registry.apply_changes(notice.changes, notice.begin, notice.end)
+        if applied:
+            self.change_log.append(notice)
+        return applied
+
+    def close_idle_connections(self) -> None:
+        """Close connections to nodes that have not been used for some time."""
+        now = time.monotonic()
+        self._used_at = {
+            address: used_at
+            for address, used_at in self._used_at.items()
+            if now - used_at < IDLE_CONNECTION_S
+        }
+        self._peer_clients.close_except(set(self._used_at))
+
+    def close(self) -> None:
+        """Stop a running request."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _get_table_version(self) -> int:
+        table = self._get_table()
+        return NO_TABLE_VERSION if table is None else table.version
+
+    def _get_compressed_table(self) -> bytes:
+        table = self._get_table()
+        if self._compressed_table[0] != table.version:
+            self._compressed_table = (table.version, compress_table(table))
+        return self._compressed_table[1]
+
+    def _is_newer(self, digest: StateDigest) -> bool:
+        if digest.table_version > self._get_table_version():
+            return True
+        return digest.servers_age_ms >= 0 and digest.servers_position > self._registry.position
+
+    async def _request_newer(self) -> None:
+        while self._sources:
+            if self._registry.loaded:
+                await asyncio.sleep(REORDERING_TIME_S)
+            vm_id, (source, digest) = self._sources.popitem()
+            if not self._is_newer(digest):
+                continue
+            try:
+                await self._request_from(source)
+            except (PeerError, InvalidMessageError) as error:
+                _logger.warning("No newer state from node {}; retrying: {}", vm_id, error)
+                await asyncio.sleep(RETRY_DELAY_S)
+
+    async def _request_from(self, source: NodeInfo) -> None:
+        self.request_count += 1
+        address = source.peer_address
+        self._used_at[address] = time.monotonic()
+        request = StateRequest(
+            table_version=self._get_table_version(), servers_position=self._registry.position
+        )
+        reply = await self._peer_clients.get(address).request(request, REQUEST_TIMEOUT_S)
+        if not isinstance(reply, StateReply):
+            raise InvalidMessageError(f"unexpected reply {type(reply).__name__}")
+        if reply.table:
+            self._apply_table(decompress_table(reply.table), source.vm_id)
+        for departure in reply.departures:
+            self._registry.add_departure(departure)
+        if reply.listings is not None:
+            self._registry.replace_listings(reply.listings, reply.servers_position)
+            _logger.info(
+                "Applied a list of {} servers from node {}.", len(reply.listings), source.vm_id
+            )
+        elif reply.servers is not None:
+            self.apply_notice(reply.servers)
+        if reply.servers_position == self._registry.position:
+            self._registry.mark_confirmed(reply.servers_age_s, detect_outage=False)
--- a/src/jasmineseam/programs/store_watcher.py
+++ b/src/jasmineseam/programs/store_watcher.py
@@ -1,14 +1,11 @@
 """Watching the metadata store for changes of the routing table, the servers and the nodes.
 
-Each node waits for a new routing table with a long poll and broadcasts it to its peers. The server
-list changes with every heartbeat, so only one node at a time reads it and broadcasts the changes.
-A node reads the list when the age of its copy exceeds a limit that grows with the rank of the
-node among the live nodes; the broadcast of the first reader resets the age at the other nodes. The
-reader also reads the latest routing table periodically, since a failing store may leave a long
-poll unanswered until it times out.
+Calls to the store must not grow with the number of nodes, so only a few nodes read it, the
+readers. They spread what they have read to the other nodes. The other nodes read the store
+themselves only if their server list has not been confirmed for a longer time.
 
 A restore of the store from a backup starts a new timeline. Positions of the earlier timeline are
-then discarded, and the record of this node is written again.
+then discarded, and the records of nodes are written again.
 """
 
 from __future__ import annotations
@@ -25,27 +22,37 @@
 from ..exceptions import PlatformError
 from ..exceptions import RecordsTrimmedError
 from ..exceptions import StoreRestoredError
+from ..membership.registry import Departure
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerListing
 from ..membership.registry import ServerRegistry
-from ..membership.store_position import UNKNOWN_POSITION
 from ..membership.store_position import StorePosition
-from ..peers.messages import Message
 from ..peers.messages import ServersNotice
-from ..peers.messages import TableNotice
 from ..routing.routes import RoutingTable
 
 ROUTING_TABLE_POLL_TIMEOUT_S = 8.0
-MAX_SERVER_LIST_AGE_S = 0.5
-# If the long poll does not return a new routing table, the node that reads the server list reads
-# the table within the sum of this interval and MAX_SERVER_LIST_AGE_S.
-ROUTING_TABLE_CHECK_INTERVAL_S = 0.7
-SERVER_LIST_READ_DELAY_PER_RANK_S = 0.12
-SERVER_LIST_AGE_CHECK_INTERVAL_S = 0.05
+# number of nodes that read the store; with two, the failure of one delays nothing
+READER_COUNT = 2
+READ_INTERVAL_S = 0.5
+# A failing store may leave a long poll unanswered, so a reader also reads the newest table within
+# the sum of this interval and READ_INTERVAL_S.
+ROUTING_TABLE_CHECK_INTERVAL_S = 0.9
+# Other nodes read the server list if theirs is older than this, plus a delay by their rank.
+MAX_SERVER_LIST_AGE_S = 3.0
+READ_DELAY_PER_RANK_S = 0.2
+MAX_RANK_DELAY_S = 6.0
+# A node without a list reads the store if no other node has provided one within this time.
+FIRST_READ_DELAY_S = 2.0
+MAX_WAIT_S = 0.5
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
+# number of nodes whose addresses are in the store, for nodes that know no other node
+CONTACT_COUNT = 4
 NODE_LIST_READ_INTERVAL_S = 10.0
 NODE_LIST_READ_INTERVAL_WITHOUT_PEERS_S = 1.0
+# A node whose calls have failed for this time leaves the reading to others, for a while.
+MAX_FAILING_S = 0.4
+FAILED_READER_PAUSE_S = 10.0
 _logger = logbook.Logger("store")
 
 
@@ -132,9 +139,12 @@
     :param registry: updated with the server list.
     :param on_routing_table: called with a routing table and its source; returns whether the table
         was newer and has been applied.
-    :param broadcast: sends a message to all peers.
-    :param get_rank: returns the rank of this node among the live nodes by VM id, starting at 0.
-    :param add_peer: called with the peer address of each node in the store.
+    :param on_server_changes: called with the changes that a read of the store has brought.
+    :param on_departures: called with the departures of servers whose grace period is over.
+    :param get_rank: returns the rank of this node among those that may read the store, 0 for the
+        first; ``None`` while this node is still joining the others.
+    :param set_reachable: called with whether this node can reach the store.
+    :param add_contact: called with the address of each node in the store.
     :param own_record: the record of this node.
     """
 
@@ -144,29 +154,47 @@
         store: MetadataStoreProtocol,
         registry: ServerRegistry,
         on_routing_table: t.Callable[[RoutingTable, str], bool],
-        broadcast: t.Callable[[Message], None],
-        get_rank: t.Callable[[], int],
-        add_peer: t.Callable[[str], None],
+        on_server_changes: t.Callable[[ServersNotice], None],
+        on_departures: t.Callable[[list[Departure]], None],
+        get_rank: t.Callable[[], int | None],
+        set_reachable: t.Callable[[bool], None],
+        add_contact: t.Callable[[str], None],
         own_record: NodeRecord,
     ) -> None:
         self._store = store
         self._registry = registry
         self._on_routing_table = on_routing_table
-        self._broadcast = broadcast
+        self._on_server_changes = on_server_changes
+        self._on_departures = on_departures
         self._get_rank = get_rank
-        self._add_peer = add_peer
+        self._set_reachable = set_reachable
+        self._add_contact = add_contact
         self._own_record = own_record
+        self._started_at = time.monotonic()
         self._routing_table_read_at = float("-inf")
+        self._servers_read_at = float("-inf")
+        # position in the store up to which this node itself has read the server list
+        self._cursor: StorePosition | None = None
+        self._failing_since = float("inf")
+        self._unreachable_until = float("-inf")
         # latest timeline of the store that this node has seen
         self._timeline = -1
         self._timeline_changed = asyncio.Event()
-        self._read_all_servers_next = False
+
+    def is_reader(self) -> bool:
+        """Return whether this node reads the store on behalf of the others."""
+        rank = self._get_rank()
+        return rank is not None and rank < READER_COUNT
 
     async def watch_routing_table(self) -> None:
-        """Apply and broadcast new routing tables until cancelled."""
+        """Apply new routing tables while this node is a reader, until cancelled."""
         backoff = Backoff()
         position = None
         while True:
+            if not self.is_reader():
+                position = None
+                await asyncio.sleep(self._compute_role_check_s())
+                continue
             try:
                 if position is None:
                     read = await self._store.read_routing_table()
@@ -205,21 +233,21 @@
                 await asyncio.sleep(INITIAL_BACKOFF_S)
 
     async def watch_servers(self) -> None:
-        """Keep the server list up to date, sharing the reads with the other nodes."""
+        """Read the server list whenever it is the task of this node, until cancelled."""
         backoff = Backoff()
         while True:
-            age_limit_s = (
-                MAX_SERVER_LIST_AGE_S + SERVER_LIST_READ_DELAY_PER_RANK_S * self._get_rank()
-            )
-            if self._registry.loaded and self._registry.get_list_age_s() < age_limit_s:
-                await asyncio.sleep(SERVER_LIST_AGE_CHECK_INTERVAL_S)
-                self._registry.expire_servers()
+            departures = self._registry.expire_servers()
+            if departures:
+                self._on_departures(departures)
+            delay_s = self._compute_read_delay_s()
+            if delay_s > 0.0:
+                await asyncio.sleep(min(delay_s, self._compute_role_check_s()))
                 continue
             try:
-                await self._read_servers()
+                await self._read_servers(after_failure=backoff.failing)
                 await self._check_routing_table()
             except RecordsTrimmedError:
-                self._read_all_servers_next = True
+                self._cursor = None
                 continue
             except StoreRestoredError as error:
                 self._record_timeline(error.timeline)
@@ -232,25 +260,35 @@
                 )
             except PlatformError as error:
                 self._log_failure("servers", error, backoff)
+                self._record_failed_read()
                 await asyncio.sleep(backoff.record_failure())
                 continue
+            self._failing_since = float("inf")
             self._log_recovery("servers", backoff)
 
     async def watch_nodes(self, has_peers: t.Callable[[], bool]) -> None:
-        """Register this node in the store and add the other nodes as peers.
+        """Register this node in the store if it is a contact, and read the other contacts.
 
-        :param has_peers: returns whether peers are known; until then the store is read more often.
+        :param has_peers: returns whether other nodes are known; until then the store is read more
+            often.
         """
         written_timeline = -1
         backoff = Backoff()
         while True:
             self._timeline_changed.clear()
+            rank = self._get_rank()
+            if rank is None:
+                await asyncio.sleep(self._compute_role_check_s())
+                continue
             try:
-                if written_timeline < 0 or written_timeline < self._timeline:
+                if rank < CONTACT_COUNT and (
+                    written_timeline < 0 or written_timeline < self._timeline
+                ):
                     written_timeline = await self._store.write_node(self._own_record)
                     self._record_timeline(written_timeline)
-                for record in await self._store.read_nodes():
-                    self._add_peer(record.peer_address)
+                if rank == 0:
+                    for record in await self._store.read_nodes():
+                        self._add_contact(record.peer_address)
             except PlatformError as error:
                 self._log_failure("nodes", error, backoff)
                 await asyncio.sleep(backoff.record_failure())
@@ -265,6 +303,32 @@
                 async with asyncio.timeout(interval_s):
                     await self._timeline_changed.wait()
 
+    def _compute_role_check_s(self) -> float:
+        """Return the time after which this node checks again whether it should read the store."""
+        started = self._registry.loaded and self._get_rank() is not None
+        return MAX_WAIT_S if started else MAX_WAIT_S / 10
+
+    def _compute_read_delay_s(self) -> float:
+        """Return the time until this node should read the server list, in seconds."""
+        now = time.monotonic()
+        if now >= self._unreachable_until:
+            self._set_reachable(True)
+        rank = self._get_rank()
+        if rank is not None and rank < READER_COUNT:
+            return self._servers_read_at + READ_INTERVAL_S - now
+        rank_delay_s = min(MAX_RANK_DELAY_S, READ_DELAY_PER_RANK_S * (rank or 0))
+        if not self._registry.loaded:
+            due_at = self._started_at + FIRST_READ_DELAY_S + rank_delay_s
+            return max(due_at, self._servers_read_at + READ_INTERVAL_S) - now
+        return MAX_SERVER_LIST_AGE_S + rank_delay_s - self._registry.get_list_age_s()
+
+    def _record_failed_read(self) -> None:
+        now = time.monotonic()
+        self._failing_since = min(self._failing_since, now)
+        if now - self._failing_since >= MAX_FAILING_S:
+            self._unreachable_until = now + FAILED_READER_PAUSE_S
+            self._set_reachable(False)
+
     def _record_timeline(self, timeline: int) -> None:
         if timeline <= self._timeline:
             return
@@ -276,31 +340,75 @@
             self._timeline_changed.set()
         self._timeline = timeline
 
-    async def _read_servers(self) -> None:
+    async def _read_servers(self, *, after_failure: bool) -> None:
         started_at = time.monotonic()
-        begin = self._registry.position
-        restored = begin.timeline < self._timeline
-        if begin == UNKNOWN_POSITION or restored or self._read_all_servers_next:
-            listings, end = await self._store.read_servers()
-            self._record_timeline(end.timeline)
-            self._read_all_servers_next = False
-            if end < self._registry.position:
-                return
-            self._registry.mark_confirmed(time.monotonic() - started_at)
-            self._registry.replace_listings(listings, end)
-            _logger.info(
-                "Read {} servers from the store, up to offset {} of timeline {}.",
-                len(listings),
-                end.offset,
-                end.timeline,
-            )
+        registry = self._registry
+        known = registry.position
+        cursor = self._cursor
+        if cursor is not None and cursor < known:
+            cursor = known
+        # After a pause, all records since then are more than the whole list.
+        recent = started_at - self._servers_read_at < MAX_SERVER_LIST_AGE_S
+        if cursor is None or not recent or cursor.timeline < self._timeline:
+            await self._read_all_servers(after_failure=after_failure)
+            return
+        changes, end = await self._store.read_server_changes(cursor)
+        self._servers_read_at = time.monotonic()
+        registry.mark_confirmed(self._servers_read_at - started_at, detect_outage=after_failure)
+        effective = registry.record_changes(changes)
+        self._cursor = end
+        if not effective:
+            return
+        # All readers assign the same position to a change, however their reads divide the topic.
+        position = StorePosition(cursor.timeline, cursor.offset + effective[-1] + 1)
+        self._publish_changes([changes[index] for index in effective], position)
+
+    async def _read_all_servers(self, *, after_failure: bool) -> None:
+        started_at = time.monotonic()
+        registry = self._registry
+        listings, end = await self._store.read_servers()
+        self._servers_read_at = time.monotonic()
+        self._record_timeline(end.timeline)
+        self._cursor = end
+        if end < registry.position:
+            return
+        registry.mark_confirmed(self._servers_read_at - started_at, detect_outage=after_failure)
+        if registry.loaded and end.timeline > registry.position.timeline:
+            # The backup may lack servers that are not recorded again yet.
+            registry.start_grace_period()
+        if not registry.loaded:
+            registry.replace_listings(listings, end)
+        else:
+            known = registry.position
+            changes = registry.replace_listings(listings, end)
+            registry.position = known
+            if changes or end.timeline > known.timeline:
+                self._publish_changes(changes, end)
+        _logger.info(
+            "Read {} servers from the store, up to offset {} of timeline {}.",
+            len(listings),
+            end.offset,
+            end.timeline,
+        )
+
+    def _publish_changes(self, changes: list[ServerChange], position: StorePosition) -> None:
+        """Spread changes that are already applied to the own list.
+
+        A removal contains the version of the removed listing, since the lists of other nodes may
+        hold an older one.
+        """
+        registry = self._registry
+        begin = registry.position
+        if position <= begin:
             return
-        changes, end = await self._store.read_server_changes(begin)
-        age_s = time.monotonic() - started_at
-        self._registry.mark_confirmed(age_s)
-        self._registry.apply_changes(changes, end)
-        notice = ServersNotice(begin=begin, end=end, age_s=age_s, changes=changes)
-        self._broadcast(notice)
+        registry.position = position
+        spread = []
+        for change in changes:
+            if change.listing is None:
+                removed = registry.get_departure(change.server_id)
+                change = ServerChange(server_id=change.server_id, removed=removed)
+            spread.append(change)
+        self._on_server_changes(ServersNotice(begin=begin, end=position, changes=spread))
 
     async def _check_routing_table(self) -> None:
         now = time.monotonic()
@@ -312,19 +420,8 @@
         self._apply_routing_table(read)
 
     def _apply_routing_table(self, read: RoutingTableRead) -> None:
-        if read.table is not None and self._on_routing_table(read.table, "store"):
-            self._broadcast(TableNotice(table=read.table))
-
-    def apply_notice(self, notice: ServersNotice) -> None:
-        """Apply server changes read by a peer, unless this node lacks earlier changes."""
-        position = self._registry.position
-        if position < notice.begin or position.timeline != notice.end.timeline:
-            self._record_timeline(notice.end.timeline)
-            return
-        self._registry.mark_confirmed(notice.age_s)
-        # The registry ignores listings that are older than the stored ones, so overlapping changes
-        # can be applied again.
-        self._registry.apply_changes(notice.changes, notice.end)
+        if read.table is not None:
+            self._on_routing_table(read.table, "store")
 
     def _log_failure(self, resource: str, error: PlatformError, backoff: Backoff) -> None:
         if not backoff.failing:
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -17,6 +17,7 @@
 import typing as t
 
 from ..exceptions import NotRunError
+from .load import MAX_FRESH_REPORT_AGE_S
 from .load import ServerLoad
 from .placement import ServerEstimate
 from .placement import SlownessEwma
@@ -94,8 +95,13 @@
         self.average_slowness = SlownessEwma()
         self.service_time_s = DEFAULT_SERVICE_TIME_S
         self._service_time_s_by_route: dict[str, float] = {}
-        # number of nodes that send requests to the same servers
-        self.node_count = 1
+        # number of nodes that send requests to the same servers, on average
+        self.node_count = 1.0
+        # Maximum age of a report whose requests count as in flight, in seconds; 0 if the other
+        # nodes send their numbers of requests in flight.
+        self.report_lifetime_s = 0.0
+        # called with this dispatcher when a request has to wait for a server
+        self.on_queued: t.Callable[[Dispatcher], None] = lambda dispatcher: None
         self._queue: list[_QueuedRequest] = []
         self._timer: asyncio.TimerHandle | None = None
         self._completion_times: collections.deque[float] = collections.deque()
@@ -126,12 +132,28 @@
         queued = _QueuedRequest(request, now, asyncio.get_running_loop().create_future())
         self._queue.append(queued)
         self._start_timer()
+        self.on_queued(self)
         try:
             return await queued.placement_future
         finally:
             if queued in self._queue:
                 self._queue.remove(queued)
 
+    def has_suitable_server(self, request: PlacementRequest) -> bool:
+        """Return whether a server with a free slot and a fresh report can meet the target.
+
+        For a request that can't meet its target any more, any free slot is suitable.
+        """
+        now = self._clock()
+        best_free, _ = self._estimate_best_servers(request.excluded_server_ids, now)
+        if best_free is None:
+            return False
+        if not self._is_feasible(request, now):
+            return True
+        if now - best_free.load.reported_at > MAX_FRESH_REPORT_AGE_S:
+            return False
+        return now + best_free.latency_factor * request.service_time_s <= request.target_at
+
     def choose_hedge_server(
         self, excluded_server_ids: set[str], service_time_s: float, max_latency_s: float
     ) -> ServerLoad | None:
@@ -254,6 +276,7 @@
             service_time_s=self.service_time_s,
             failure_domain=self._failure_domain,
             rng=self._rng,
+            report_lifetime_s=self.report_lifetime_s,
         )
 
     def _is_feasible(self, request: PlacementRequest, now: float) -> bool:
@@ -312,7 +335,7 @@
             raise self._build_overload_error(request, now)
         if best_free is not None:
             return best_free.load
-        in_flight = best.load.count_in_flight(now)
+        in_flight = best.load.count_busy_slots(now, self.report_lifetime_s)
         has_queue_space = in_flight < best.load.slots * (1.0 + MAX_SERVER_QUEUE_FRACTION)
         if (
             has_queue_space
@@ -327,7 +350,7 @@
         in_flight = 0
         slots = 0
         for load in self.loads.values():
-            in_flight += load.count_in_flight(now)
+            in_flight += load.count_busy_slots(now, self.report_lifetime_s)
             slots += load.slots
         return in_flight >= (1.0 - RESERVED_SHARE * self._feasible_fraction) * slots
 
--- a/src/jasmineseam/routing/load.py
+++ b/src/jasmineseam/routing/load.py
@@ -33,6 +33,7 @@
         "_in_flight_by_peer",
         "_last_token",
         "address",
+        "borrowed_until",
         "ejected_until",
         "failure_domain",
         "last_probe_at",
@@ -43,6 +44,7 @@
         "server_id",
         "slots",
         "started_ms",
+        "unanswered_probe",
         "warmup_ends_at",
     )
 
@@ -63,6 +65,10 @@
         self.report: DetailedLoadReport | None = None
         self.reported_at = float("-inf")
         self.last_probe_at = float("-inf")
+        # whether the last probe has failed and no report has arrived since then
+        self.unanswered_probe = False
+        # end of the time for which the server is used, ``None`` if it is in this node's subset
+        self.borrowed_until: float | None = None
         self._failure_rate = 0.0
         self._failure_rate_at = now
         self.ejected_until = 0.0
@@ -90,6 +96,7 @@
             return False
         self.report = report
         self.reported_at = observed_at
+        self.unanswered_probe = False
         if report.slots:
             self.slots = report.slots
         return True
@@ -124,6 +131,16 @@
             count += peer_count
         return count
 
+    def count_busy_slots(self, now: float, report_lifetime_s: float) -> int:
+        """Return how many requests the server runs or queues, as far as this node knows.
+
+        :param report_lifetime_s: maximum age of a report that is taken into account, in seconds.
+        """
+        in_flight = self.count_in_flight(now)
+        if self.report is None or now - self.reported_at > report_lifetime_s:
+            return in_flight
+        return max(in_flight, self.report.running + self.report.waiting)
+
     def record_outcome(self, failed: bool, now: float) -> None:
         """Update the failure rate from one finished attempt."""
         rate = self.get_failure_rate(now)
--- a/src/jasmineseam/routing/placement.py
+++ b/src/jasmineseam/routing/placement.py
@@ -31,6 +31,7 @@
 # a server is treated as stalled if a request has run there for more than this many service times
 OVERDUE_SERVICE_TIME_FACTOR = 6.0
 STALLED_SERVER_LATENCY_FACTOR = 3.0
+UNANSWERED_PROBE_LATENCY_FACTOR = 3.0
 # largest random increase of an estimate, as a fraction of the estimate
 TIE_BREAK_JITTER_FRACTION = 0.03
 
@@ -89,20 +90,20 @@
     average_slowness: float,
     service_time_s: float,
     failure_domain: str,
+    report_lifetime_s: float = 0.0,
 ) -> ServerEstimate:
     """Return the latency estimate of a request that is sent to a server now.
 
     :param average_slowness: average slowness of the service's hosts.
     :param service_time_s: service time on a host of normal speed, in seconds.
     :param failure_domain: failure domain of this node.
+    :param report_lifetime_s: maximum age of a report whose requests count as in flight, in
+        seconds; at least :data:`MAX_FRESH_REPORT_AGE_S` is used.
     """
     factor = estimate_slowness(load, now, average_slowness)
-    in_flight = load.count_in_flight(now)
-    report = load.report
-    if report is not None and now - load.reported_at < MAX_FRESH_REPORT_AGE_S:
-        # a server continues to run requests whose callers have disconnected; only its report
-        # counts them
-        in_flight = max(in_flight, report.running + report.waiting)
+    # a server continues to run requests whose callers have disconnected; only its report counts
+    # them
+    in_flight = load.count_busy_slots(now, max(MAX_FRESH_REPORT_AGE_S, report_lifetime_s))
     slots = load.slots
     excess = in_flight + 1 - slots
     if excess > 0:
@@ -111,6 +112,8 @@
         factor *= HIGH_OCCUPANCY_LATENCY_FACTOR
     if now < load.warmup_ends_at:
         factor *= WARMUP_LATENCY_FACTOR
+    if load.unanswered_probe:
+        factor *= UNANSWERED_PROBE_LATENCY_FACTOR
     if load.request_start_times:
         oldest_s = now - next(iter(load.request_start_times.values()))
         if oldest_s > OVERDUE_SERVICE_TIME_FACTOR * service_time_s > 0:
@@ -130,6 +133,7 @@
     service_time_s: float,
     failure_domain: str,
     rng: random.Random,
+    report_lifetime_s: float = 0.0,
 ) -> tuple[ServerEstimate | None, ServerEstimate | None]:
     """Return the best server with a free slot and the best server overall.
 
@@ -139,12 +143,15 @@
     :param service_time_s: service time on a host of normal speed, in seconds.
     :param failure_domain: failure domain of this node.
     :param rng: breaks ties, so that nodes with the same information choose different servers.
+    :param report_lifetime_s: see :func:`estimate_server`.
     """
     best_free = best = None
     for load in loads:
         if now < load.get_available_at():
             continue
-        candidate = estimate_server(load, now, average_slowness, service_time_s, failure_domain)
+        candidate = estimate_server(
+            load, now, average_slowness, service_time_s, failure_domain, report_lifetime_s
+        )
         factor = candidate.latency_factor * (1.0 + TIE_BREAK_JITTER_FRACTION * rng.random())
         candidate = ServerEstimate(load, factor, candidate.has_free_slot)
         if best is None or factor < best.latency_factor:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -134,7 +134,7 @@
                 notices=f"{host}:{notices}",
             ),
             "store_address": self.store_address,
-            "seed_peers": [node.settings.listeners.peers for node in self.nodes][:3],
+            "seed_peers": [node.settings.listeners.notices for node in self.nodes][:3],
             "retries": RetryBudgetSettings(share=0.2, allowance=60.0, window_s=10.0),
             "probes_per_s": 60.0,
             "grace_s": 2.0,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -418,7 +418,7 @@
         first = await start_node(deployment, instances=("i-1",))
         second = await deployment.add_node("vm-2")
         await wait_until(
-            lambda: len(second.mesh.membership.list_known()) == 1, "the peer is discovered"
+            lambda: len(second.fleet.membership.list_peers()) == 1, "the peer is discovered"
         )
         set_behaviour_of_all(deployment, slowness_pct=420)
         assert (await deployment.send_request(first, "/safe/1"))[0] == 200
@@ -442,8 +442,8 @@
             await asyncio.gather(*(deployment.send_request(node, "/safe/1") for node in nodes))
             await asyncio.sleep(0.02)
         # A node that no longer reaches the other also probes its servers, at a reduced rate.
-        nodes[0].mesh.close()
-        nodes[1].mesh.close()
+        nodes[0].fleet.close()
+        nodes[1].fleet.close()
         measured_from = time.monotonic()
         await asyncio.sleep(3.0)
         for instance in deployment.instances.values():
@@ -708,7 +708,7 @@
         second_store_address = await deployment.add_store_listener()
         second = await deployment.add_node("vm-2", store_address=second_store_address)
         await wait_until(
-            lambda: len(second.mesh.list_live_nodes()) == 2, "both nodes list each other"
+            lambda: len(second.fleet.membership.list_live()) == 2, "both nodes list each other"
         )
         deployment.store.behaviour.failing_ports = [int(second_store_address.rpartition(":")[2])]
         deployment.store.behaviour.failure = failure
@@ -749,13 +749,13 @@
 def test_unexpected_error_of_a_background_task_does_not_end_the_node():
     async def scenario(deployment):
         node = await start_node(deployment)
-        apply_changes = node.registry.apply_changes
+        record_changes = node.registry.record_changes
         faults = [RecursionError("a fault")]
 
-        def fail_once(changes, position):
+        def fail_once(changes):
             if faults:
                 raise faults.pop()
-            apply_changes(changes, position)
+            return record_changes(changes)
 
         node.store_watcher._registry = FaultyRegistry(node.registry, fail_once)
         await deployment.add_instance("i-3")
@@ -769,11 +769,11 @@
 
 
 class FaultyRegistry:
-    """A server registry whose method ``apply_changes`` is replaced."""
+    """A server registry whose method ``record_changes`` is replaced."""
 
-    def __init__(self, registry, apply_changes):
+    def __init__(self, registry, record_changes):
         self._registry = registry
-        self.apply_changes = apply_changes
+        self.record_changes = record_changes
 
     def __getattr__(self, name):
         return getattr(self._registry, name)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,6 +11,7 @@
 from jasmineseam.exceptions import SettingsError
 from jasmineseam.membership.store_position import StorePosition
 from jasmineseam.peers.messages import ServersNotice
+from jasmineseam.peers.messages import StateReply
 from jasmineseam.peers.messages import decode_message
 from jasmineseam.peers.messages import encode_message
 from jasmineseam.platform.headers import decode_request_headers
@@ -59,6 +60,7 @@
     assert settings.vm.failure_domain == "z1"
     assert settings.listeners.entry == "10.1.0.35:8144"
     assert settings.listeners.notices == "10.1.0.35:7660"
+    assert settings.seed_peers == ["10.1.0.35:7660"]
     assert settings.store_address == "10.200.1.7:8142"
     assert (settings.grace_s, settings.longest_lifetime_s) == (6.0, 5.0)
     assert settings.retries.allowance == 62.0
@@ -200,9 +202,10 @@
     assert (change.listing is None) == (error is not None)
     if change.listing is not None:
         notice = ServersNotice(
-            begin=StorePosition(1, 0), end=StorePosition(1, 1), age_s=0.0, changes=[change]
+            begin=StorePosition(1, 0), end=StorePosition(1, 1), changes=[change]
         )
-        assert decode_message(encode_message(notice)) == notice
+        reply = StateReply(servers=notice)
+        assert decode_message(encode_message(reply)) == reply
 
 
 @hypothesis.given(
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -47,14 +47,16 @@
     registry = ServerRegistry(clock=clock)
     registry.replace_listings([make_listing("b")], at(0))
     for position, listing in enumerate(listings):
-        registry.apply_changes([make_change(listing)], at(position + 1))
+        registry.apply_changes([make_change(listing)], at(position), at(position + 1))
     assert list_usable_ids(registry) == [*expected, "b"]
 
 
 def test_changes_up_to_the_current_position_are_ignored(clock):
     registry = ServerRegistry(clock=clock)
     registry.replace_listings([make_listing()], at(5))
-    registry.apply_changes([make_change(None)], at(5))
+    registry.apply_changes([make_change(None)], at(4), at(5))
+    # earlier changes are missing
+    registry.apply_changes([make_change(None)], at(6), at(7))
     assert list_usable_ids(registry) == ["a"]
 
 
@@ -63,9 +65,9 @@
     registry.replace_listings([make_listing(sequence=4)], at(0))
     registry.mark_stale("a")
     assert list_usable_ids(registry) == []
-    registry.apply_changes([make_change(make_listing(sequence=4))], at(1))
+    registry.apply_changes([make_change(make_listing(sequence=4))], at(0), at(1))
     assert list_usable_ids(registry) == []
-    registry.apply_changes([make_change(make_listing(sequence=5))], at(2))
+    registry.apply_changes([make_change(make_listing(sequence=5))], at(1), at(2))
     assert list_usable_ids(registry) == ["a"]
 
 
@@ -79,7 +81,7 @@
     registry.replace_listings([make_listing()], at(0))
     clock.now += outage_s
     registry.mark_confirmed()
-    registry.apply_changes([make_change(None)], at(1))
+    registry.apply_changes([make_change(None)], at(0), at(1))
     clock.now += wait_s
     registry.expire_servers()
     assert list_usable_ids(registry) == expected
@@ -91,7 +93,7 @@
     registry.replace_listings([make_listing(sequence=3, leaving=True)], at(0))
     clock.now += 5.0
     registry.mark_confirmed()
-    registry.apply_changes([make_change(None)], at(1))
+    registry.apply_changes([make_change(None)], at(0), at(1))
     assert list_usable_ids(registry) == []
     assert registry.get_server("a") is None
 
@@ -110,8 +112,8 @@
 def test_a_removed_server_stays_removed_after_a_restore(clock, reappearing, expected, leaving):
     registry = ServerRegistry(clock=clock)
     registry.replace_listings([make_listing(sequence=4)], at(5))
-    registry.apply_changes([make_change(make_listing(sequence=5, leaving=leaving))], at(6))
-    registry.apply_changes([make_change(None)], at(7))
+    registry.apply_changes([make_change(make_listing(sequence=5, leaving=leaving))], at(5), at(6))
+    registry.apply_changes([make_change(None)], at(6), at(7))
     registry.replace_listings([reappearing], at(2, timeline=2))
     assert list_usable_ids(registry) == expected
 
@@ -119,7 +121,7 @@
 def test_a_draining_server_stays_unused_after_a_restore(clock):
     registry = ServerRegistry(clock=clock)
     registry.replace_listings([make_listing(sequence=4)], at(5))
-    registry.apply_changes([make_change(make_listing(sequence=5, leaving=True))], at(6))
+    registry.apply_changes([make_change(make_listing(sequence=5, leaving=True))], at(5), at(6))
     registry.replace_listings([make_listing(sequence=4)], at(2, timeline=2))
     assert list_usable_ids(registry) == []
 
@@ -128,6 +130,7 @@
 def test_a_server_missing_after_a_restore_has_a_grace_period(clock, wait_s, expected):
     registry = ServerRegistry(clock=clock)
     registry.replace_listings([make_listing()], at(5))
+    registry.start_grace_period()
     registry.replace_listings([], at(2, timeline=2))
     clock.now += wait_s
     registry.expire_servers()
@@ -138,8 +141,9 @@
     registry = ServerRegistry(clock=clock)
     registry.replace_listings([make_listing("b")], at(5, timeline=2))
     registry.replace_listings([make_listing("a")], at(90, timeline=1))
-    registry.apply_changes([make_change(make_listing("a"))], at(91, timeline=1))
-    registry.apply_changes([make_change(make_listing("a"))], at(9, timeline=3))
+    changes = [make_change(make_listing("a"))]
+    assert not registry.apply_changes(changes, at(90, timeline=1), at(91, timeline=1))
+    assert not registry.apply_changes(changes, at(9, timeline=3), at(10, timeline=3))
     assert list_usable_ids(registry) == ["b"]
     assert registry.position == at(5, timeline=2)
 
@@ -174,7 +178,7 @@
     registry = ServerRegistry(clock=clock)
     registry.replace_listings([make_listing("a"), make_listing("b")], at(5))
     registry.add_departure(Departure(server_id="a", started_ms=1))
-    registry.apply_changes([make_change(None, "b")], at(6))
+    registry.apply_changes([make_change(None, "b")], at(5), at(6))
     clock.now += 301.0
     registry.expire_servers()
     assert [departure.server_id for departure in registry.list_departures(1000.0)] == ["a"]
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -45,7 +45,9 @@
 def test_server_that_reports_its_departure_gets_no_new_requests(source, options):
     async def scenario(deployment):
         first, second = await start_nodes(deployment, "i-1", "i-2", node_count=2, options=options)
-        await wait_until(lambda: len(first.mesh.list_live_nodes()) == 2, "the nodes are linked")
+        await wait_until(
+            lambda: len(first.fleet.membership.list_live()) == 2, "the nodes are linked"
+        )
         leaving = deployment.instances["i-1"]
         leaving.behaviour = InstanceBehaviour(leaving=True)
         if source == "response":
