Give each spread change of the server list its own position

A reader that had received some of the parts continued to read behind the others, moved its position past them and ignored them when they came; nodes that followed it lost them too.

Now the parts end at the offsets of their changes, changes of one position stay together, and servers whose grace period ends are published with the next position instead of by a datagram that could be lost. Departures that servers report themselves are compared by a hash in each digest. test_lists_agree_however_reads_and_notices_interleave plays two readers and two followers with lost and reordered notices: whoever knows a position must have the same list.

--- a/src/jasmineseam/membership/registry.py
+++ b/src/jasmineseam/membership/registry.py
@@ -9,6 +9,7 @@
 import typing as t
 
 import msgspec
+import xxhash
 
 from .servers import Server
 from .store_position import UNKNOWN_POSITION
@@ -243,6 +244,16 @@
             self._rebuild_index()
         return True
 
+    def compute_leaving_hash(self) -> int:
+        """Return a hash over the listed servers that have reported their departure themselves."""
+        combined = 0
+        for server_id, (departure, _) in self._departures.items():
+            if departure.sequence is not None or server_id not in self._registered:
+                continue
+            text = f"{server_id} {departure.started_ms}"
+            combined ^= xxhash.xxh3_64_intdigest(text.encode())
+        return combined
+
     def get_departure(self, server_id: str) -> Departure | None:
         """Return the newest departure of a server, ``None`` if there is none."""
         recorded = self._departures.get(server_id)
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -214,12 +214,14 @@
     :param servers_position: store position up to which the node knows the server list.
     :param servers_age_ms: time since the list was confirmed by a read of the store, in
         milliseconds; -1 if the node has no list.
+    :param leaving_hash: hash over the listed servers that have reported their departure.
     """
 
     nodes_hash: int
     table_version: int
     servers_position: StorePosition
     servers_age_ms: int
+    leaving_hash: int = 0
 
 
 class FleetMessage(Message):
--- a/src/jasmineseam/programs/fleet.py
+++ b/src/jasmineseam/programs/fleet.py
@@ -57,7 +57,6 @@
 # Parts of one update, so that it fits into a datagram.
 MAX_NODES_PER_UPDATE = 8
 MAX_DEPARTURES_PER_UPDATE = 15
-MAX_CHANGES_PER_UPDATE = 4
 _logger = logbook.Logger("fleet")
 
 
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -24,7 +24,6 @@
 from ..membership.nodes import NodeStatus
 from ..membership.registry import Departure
 from ..membership.registry import ServerRegistry
-from ..membership.store_position import StorePosition
 from ..operations.daemon import Daemon
 from ..operations.node_settings import NodeOptions
 from ..operations.node_settings import NodeSettings
@@ -40,7 +39,6 @@
 from ..requests.protocol import HeaderCodec
 from ..routing.routes import RoutingTable
 from ..transport.caller_connections import CallerServer
-from .fleet import MAX_CHANGES_PER_UPDATE
 from .fleet import Fleet
 from .fleet import FleetHandlers
 from .gateway import Gateway
@@ -51,6 +49,7 @@
 from .node_endpoints import NodeEndpoints
 from .node_metrics import add_node_metrics
 from .state_sync import StateSynchronizer
+from .store_watcher import MAX_CHANGES_PER_NOTICE
 from .store_watcher import MetadataStoreProtocol
 from .store_watcher import NodeRecord
 from .store_watcher import StoreWatcher
@@ -186,7 +185,6 @@
             registry=self.registry,
             on_routing_table=self._apply_routing_table,
             on_server_changes=self._publish_server_changes,
-            on_departures=lambda departures: self.fleet.publish(departures=departures),
             get_rank=self.fleet.get_reader_rank,
             set_reachable=lambda reachable: self.fleet.update_own(reads_store=reachable),
             add_contact=self.fleet.add_contact,
@@ -363,28 +361,17 @@
         self.fleet.update_own(ready=self.ready, leaving=self._leaving)
         self.fleet.publish(nodes=[self.fleet.membership.own], urgent=urgent)
 
-    def _publish_server_changes(self, notice: ServersNotice) -> None:
-        """Spread changes of the server list, in parts that fit into a datagram.
+    def _publish_server_changes(self, notices: list[ServersNotice]) -> None:
+        """Spread changes of the server list.
 
-        Without enough positions between begin and end for the parts, nothing is sent, and the
-        other nodes request the changes when they see the new position.
+        A notice that doesn't fit into a datagram is not sent. The other nodes request its changes
+        when they see the new position.
         """
-        self.state_sync.change_log.append(notice)
-        changes = notice.changes
-        parts = [
-            changes[start : start + MAX_CHANGES_PER_UPDATE]
-            for start in range(0, len(changes), MAX_CHANGES_PER_UPDATE)
-        ]
-        timeline, end_offset = notice.end
-        first_offset = end_offset - len(parts) + 1
-        if not parts or StorePosition(timeline, first_offset) <= notice.begin:
-            self._publish_own_state(urgent=True)
-            return
-        begin = notice.begin
-        for number, part in enumerate(parts):
-            end = StorePosition(timeline, first_offset + number)
-            self.fleet.publish(servers=ServersNotice(begin=begin, end=end, changes=part))
-            begin = end
+        for notice in notices:
+            self.state_sync.change_log.append(notice)
+            if len(notice.changes) <= MAX_CHANGES_PER_NOTICE:
+                self.fleet.publish(servers=notice)
+        self._publish_own_state(urgent=True)
 
     def _report_departure(self, server_id: str, started_ms: int) -> None:
         """Record and spread that a server has reported its departure in a response."""
--- a/src/jasmineseam/programs/state_sync.py
+++ b/src/jasmineseam/programs/state_sync.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import random
 import time
 import typing as t
 import zlib
@@ -26,10 +27,12 @@
 from ..peers.rpc import PeerClients
 from ..routing.routes import RoutingTable
 
-REQUEST_TIMEOUT_S = 1.5
+REQUEST_TIMEOUT_S = 0.5
 # News of the server list that arrives out of order is complete within this time.
 REORDERING_TIME_S = 0.03
-RETRY_DELAY_S = 0.2
+RETRY_DELAY_S = 0.05
+# Interval between two requests only because of departures that may be missing.
+DEPARTURES_REQUEST_INTERVAL_S = 1.0
 # A connection to a node is closed if it was not used for this time.
 IDLE_CONNECTION_S = 5.0
 # changes of the server list that are kept for nodes that lack only those
@@ -114,12 +117,14 @@
         self._get_table = get_table
         self._apply_table = apply_table
         self.change_log = ServerChangeLog()
-        # nodes with newer state, and their digests; the one heard last is asked first
+        # nodes with newer state, and their digests
         self._sources: dict[str, tuple[NodeInfo, StateDigest]] = {}
+        self._rng = random.Random()
         self._task: asyncio.Task | None = None
         self._used_at: dict[str, float] = {}
         self._compressed_table = (NO_TABLE_VERSION, b"")
         self.request_count = 0
+        self._departures_requested_at = float("-inf")
 
     def build_digest(self, nodes_hash: int) -> StateDigest:
         """Return the summary of what this node knows."""
@@ -130,6 +135,7 @@
             table_version=self._get_table_version(),
             servers_position=registry.position,
             servers_age_ms=age_ms if registry.loaded else -1,
+            leaving_hash=registry.compute_leaving_hash(),
         )
 
     def handle_digest(self, sender: NodeInfo, digest: StateDigest) -> None:
@@ -200,13 +206,24 @@
     def _is_newer(self, digest: StateDigest) -> bool:
         if digest.table_version > self._get_table_version():
             return True
-        return digest.servers_age_ms >= 0 and digest.servers_position > self._registry.position
+        registry = self._registry
+        if digest.servers_age_ms < 0:
+            return False
+        if digest.servers_position > registry.position:
+            return True
+        # Either node may lack departures; both request them, but not often.
+        return (
+            digest.servers_position == registry.position
+            and digest.leaving_hash != registry.compute_leaving_hash()
+            and time.monotonic() - self._departures_requested_at > DEPARTURES_REQUEST_INTERVAL_S
+        )
 
     async def _request_newer(self) -> None:
         while self._sources:
             if self._registry.loaded:
                 await asyncio.sleep(REORDERING_TIME_S)
-            vm_id, (source, digest) = self._sources.popitem()
+            vm_id = self._rng.choice(list(self._sources))
+            source, digest = self._sources.pop(vm_id)
             if not self._is_newer(digest):
                 continue
             try:
@@ -217,6 +234,7 @@
 
     async def _request_from(self, source: NodeInfo) -> None:
         self.request_count += 1
+        self._departures_requested_at = time.monotonic()
         address = source.peer_address
         self._used_at[address] = time.monotonic()
         request = StateRequest(
--- a/src/jasmineseam/programs/store_watcher.py
+++ b/src/jasmineseam/programs/store_watcher.py
@@ -44,6 +44,8 @@
 # A node without a list reads the store if no other node has provided one within this time.
 FIRST_READ_DELAY_S = 2.0
 MAX_WAIT_S = 0.5
+# changes in one notice, so that it fits into a datagram
+MAX_CHANGES_PER_NOTICE = 4
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
 # number of nodes whose addresses are in the store, for nodes that know no other node
@@ -139,8 +141,8 @@
     :param registry: updated with the server list.
     :param on_routing_table: called with a routing table and its source; returns whether the table
         was newer and has been applied.
-    :param on_server_changes: called with the changes that a read of the store has brought.
-    :param on_departures: called with the departures of servers whose grace period is over.
+    :param on_server_changes: called with the changes that a read of the store has brought, in
+        parts with their positions.
     :param get_rank: returns the rank of this node among those that may read the store, 0 for the
         first; ``None`` while this node is still joining the others.
     :param set_reachable: called with whether this node can reach the store.
@@ -154,8 +156,7 @@
         store: MetadataStoreProtocol,
         registry: ServerRegistry,
         on_routing_table: t.Callable[[RoutingTable, str], bool],
-        on_server_changes: t.Callable[[ServersNotice], None],
-        on_departures: t.Callable[[list[Departure]], None],
+        on_server_changes: t.Callable[[list[ServersNotice]], None],
         get_rank: t.Callable[[], int | None],
         set_reachable: t.Callable[[bool], None],
         add_contact: t.Callable[[str], None],
@@ -165,7 +166,6 @@
         self._registry = registry
         self._on_routing_table = on_routing_table
         self._on_server_changes = on_server_changes
-        self._on_departures = on_departures
         self._get_rank = get_rank
         self._set_reachable = set_reachable
         self._add_contact = add_contact
@@ -175,6 +175,8 @@
         self._servers_read_at = float("-inf")
         # position in the store up to which this node itself has read the server list
         self._cursor: StorePosition | None = None
+        # departures of servers whose grace period is over, for the next changes to be published
+        self._expired: list[Departure] = []
         self._failing_since = float("inf")
         self._unreachable_until = float("-inf")
         # latest timeline of the store that this node has seen
@@ -236,9 +238,7 @@
         """Read the server list whenever it is the task of this node, until cancelled."""
         backoff = Backoff()
         while True:
-            departures = self._registry.expire_servers()
-            if departures:
-                self._on_departures(departures)
+            self._expired += self._registry.expire_servers()
             delay_s = self._compute_read_delay_s()
             if delay_s > 0.0:
                 await asyncio.sleep(min(delay_s, self._compute_role_check_s()))
@@ -357,11 +357,16 @@
         registry.mark_confirmed(self._servers_read_at - started_at, detect_outage=after_failure)
         effective = registry.record_changes(changes)
         self._cursor = end
-        if not effective:
-            return
         # All readers assign the same position to a change, however their reads divide the topic.
-        position = StorePosition(cursor.timeline, cursor.offset + effective[-1] + 1)
-        self._publish_changes([changes[index] for index in effective], position)
+        positioned = [
+            (StorePosition(cursor.timeline, cursor.offset + index + 1), changes[index])
+            for index in effective
+        ]
+        positioned += [
+            (end, ServerChange(server_id=departure.server_id)) for departure in self._expired
+        ]
+        self._expired.clear()
+        self._publish_changes(positioned)
 
     async def _read_all_servers(self, *, after_failure: bool) -> None:
         started_at = time.monotonic()
@@ -382,8 +387,9 @@
             known = registry.position
             changes = registry.replace_listings(listings, end)
             registry.position = known
-            if changes or end.timeline > known.timeline:
-                self._publish_changes(changes, end)
+            self._publish_changes([(end, change) for change in changes])
+            if end.timeline > known.timeline:
+                registry.position = end
         _logger.info(
             "Read {} servers from the store, up to offset {} of timeline {}.",
             len(listings),
@@ -391,24 +397,36 @@
             end.timeline,
         )
 
-    def _publish_changes(self, changes: list[ServerChange], position: StorePosition) -> None:
+    def _publish_changes(self, positioned: list[tuple[StorePosition, ServerChange]]) -> None:
         """Spread changes that are already applied to the own list.
 
-        A removal contains the version of the removed listing, since the lists of other nodes may
-        hold an older one.
+        Changes with the same position stay in one part, since a node that knows the position must
+        know all of them. A removal contains the version of the removed listing, since the lists of
+        other nodes may hold an older one.
+
+        :param positioned: each change with the position after it, in ascending order.
         """
         registry = self._registry
         begin = registry.position
-        if position <= begin:
-            return
-        registry.position = position
-        spread = []
-        for change in changes:
+        notices: list[ServersNotice] = []
+        part: list[ServerChange] = []
+        for index, (position, change) in enumerate(positioned):
             if change.listing is None:
                 removed = registry.get_departure(change.server_id)
                 change = ServerChange(server_id=change.server_id, removed=removed)
-            spread.append(change)
-        self._on_server_changes(ServersNotice(begin=begin, end=position, changes=spread))
+            part.append(change)
+            last = index + 1 == len(positioned)
+            if not last and (
+                positioned[index + 1][0] == position or len(part) < MAX_CHANGES_PER_NOTICE
+            ):
+                continue
+            if position > begin:
+                notices.append(ServersNotice(begin=begin, end=position, changes=part))
+                begin = position
+                part = []
+        if notices:
+            registry.position = begin
+            self._on_server_changes(notices)
 
     async def _check_routing_table(self) -> None:
         now = time.monotonic()
--- /dev/null
+++ b/tests/test_store_watcher.py
@@ -0,0 +1,270 @@
+"""Nodes that read the store for others: who reads, what is spread, and who takes over."""
+
+import asyncio
+import collections
+import random
+
+import pytest
+
+from jasmineseam.membership.registry import ServerChange
+from jasmineseam.membership.registry import ServerListing
+from jasmineseam.membership.registry import ServerRegistry
+from jasmineseam.membership.servers import Server
+from jasmineseam.membership.store_position import StorePosition
+from jasmineseam.programs import store_watcher
+from jasmineseam.programs.state_sync import ServerChangeLog
+from jasmineseam.programs.store_watcher import NodeRecord
+from jasmineseam.programs.store_watcher import StoreWatcher
+from standins.configuration import build_route
+from tests.deployment import run_scenario
+from tests.deployment import wait_until
+
+
+def make_listing(name, sequence, *, leaving=False):
+    server = Server(
+        server_id=name,
+        service="fit",
+        address="10.0.0.1:1",
+        failure_domain="d",
+        leaving=leaving,
+    )
+    return ServerListing(server=server, slots=4, started_ms=1, sequence=sequence)
+
+
+class ScriptedStore:
+    """A topic of server records, read from any position."""
+
+    def __init__(self):
+        self.changes = []
+
+    def append(self, name, listing):
+        self.changes.append(ServerChange(server_id=name, listing=listing))
+
+    async def read_servers(self):
+        newest = {}
+        for change in self.changes:
+            newest[change.server_id] = change.listing
+        listings = [listing for listing in newest.values() if listing is not None]
+        return listings, StorePosition(1, len(self.changes))
+
+    async def read_server_changes(self, position):
+        return self.changes[position.offset :], StorePosition(1, len(self.changes))
+
+
+class Reader:
+    """A watcher that is always a reader, with the notices that it has published."""
+
+    def __init__(self, store, clock):
+        self.registry = ServerRegistry(clock=clock)
+        self.notices = []
+        self.watcher = StoreWatcher(
+            store=store,
+            registry=self.registry,
+            on_routing_table=lambda table, source: False,
+            on_server_changes=self.notices.extend,
+            get_rank=lambda: 0,
+            set_reachable=lambda reachable: None,
+            add_contact=lambda address: None,
+            own_record=NodeRecord(vm_id="vm", peer_address="127.0.0.1:1"),
+        )
+
+    def read(self):
+        asyncio.run(self.watcher._read_servers(after_failure=False))
+
+    def take_notices(self):
+        notices = list(self.notices)
+        self.notices.clear()
+        return notices
+
+
+def describe(registry):
+    return {
+        listing.server.server_id: listing.server.leaving for listing in registry.list_listings()
+    }
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_lists_agree_however_reads_and_notices_interleave(clock, seed):
+    """Two readers and two other nodes, with lost, late and reordered notices."""
+    rng = random.Random(seed)
+    store = ScriptedStore()
+    sequences = collections.Counter()
+    readers = [Reader(store, clock) for _ in range(2)]
+    followers = [ServerRegistry(clock=clock) for _ in range(2)]
+    names = [f"s{number}" for number in range(12)]
+    for name in names:
+        store.append(name, make_listing(name, 0))
+    for reader in readers:
+        reader.read()
+    for follower in followers:
+        follower.replace_listings(readers[0].registry.list_listings(), StorePosition(1, 12))
+    in_flight = []
+    for _ in range(120):
+        action = rng.random()
+        if action < 0.5:
+            for _ in range(rng.choice([1, 1, 9])):
+                name = rng.choice(names)
+                sequences[name] += 1
+                kind = rng.random()
+                removed = kind < 0.2
+                leaving = kind < 0.4
+                store.append(
+                    name,
+                    None if removed else make_listing(name, sequences[name], leaving=leaving),
+                )
+        elif action < 0.75:
+            reader = rng.choice(readers)
+            reader.read()
+            for notice in reader.take_notices():
+                targets = [*followers, *(other.registry for other in readers)]
+                in_flight += [
+                    (target, notice)
+                    for target in targets
+                    if target is not reader.registry and rng.random() > 0.2
+                ]
+        elif in_flight:
+            target, notice = in_flight.pop(rng.randrange(len(in_flight)))
+            target.apply_changes(notice.changes, notice.begin, notice.end)
+        # Whoever knows a position has the same list as every other node that knows it.
+        by_position = {}
+        for registry in (*followers, *(reader.registry for reader in readers)):
+            known = by_position.setdefault(registry.position, describe(registry))
+            assert known == describe(registry)
+    for reader in readers:
+        reader.read()
+        reader.read()
+    assert describe(readers[0].registry) == describe(readers[1].registry)
+
+
+def test_heartbeats_are_not_spread(clock):
+    store = ScriptedStore()
+    store.append("a", make_listing("a", 0))
+    reader = Reader(store, clock)
+    reader.read()
+    store.append("a", make_listing("a", 1))
+    reader.read()
+    assert reader.take_notices() == []
+    assert reader.registry.position == StorePosition(1, 1)
+    store.append("a", make_listing("a", 2, leaving=True))
+    store.append("a", make_listing("a", 3, leaving=True))
+    reader.read()
+    (notice,) = reader.take_notices()
+    assert (notice.begin, notice.end) == (StorePosition(1, 1), StorePosition(1, 3))
+
+
+def test_removal_is_spread_with_the_version_that_the_reader_knows(clock):
+    store = ScriptedStore()
+    for sequence in range(5):
+        store.append("a", make_listing("a", sequence))
+    reader = Reader(store, clock)
+    reader.read()
+    store.append("a", None)
+    reader.read()
+    (notice,) = reader.take_notices()
+    assert notice.changes[0].removed.sequence == 4
+
+
+def test_many_changes_are_divided_at_their_own_positions(clock):
+    store = ScriptedStore()
+    for number in range(10):
+        store.append(f"s{number}", make_listing(f"s{number}", 0))
+    reader = Reader(store, clock)
+    reader.read()
+    for number in range(10):
+        store.append(f"s{number}", make_listing(f"s{number}", 1, leaving=True))
+        store.append("s0", make_listing("s0", 2 + number, leaving=True))
+    reader.read()
+    notices = reader.take_notices()
+    assert len(notices) == 3
+    assert all(len(notice.changes) <= store_watcher.MAX_CHANGES_PER_NOTICE for notice in notices)
+    assert [notice.begin for notice in notices[1:]] == [notice.end for notice in notices[:-1]]
+    assert notices[0].end == StorePosition(1, 10 + 7)
+
+
+def test_change_log_returns_only_complete_changes():
+    log = ServerChangeLog()
+    change = ServerChange(server_id="a")
+    for begin, end in ((3, 5), (5, 9)):
+        log.append(
+            store_watcher.ServersNotice(
+                begin=StorePosition(1, begin), end=StorePosition(1, end), changes=[change]
+            )
+        )
+    assert log.get_changes_since(StorePosition(1, 2)) is None
+    assert log.get_changes_since(StorePosition(1, 9)) is None
+    assert len(log.get_changes_since(StorePosition(1, 3)).changes) == 2
+    assert len(log.get_changes_since(StorePosition(1, 6)).changes) == 1
+    assert log.get_changes_since(StorePosition(1, 6)).end == StorePosition(1, 9)
+
+
+def list_readers(deployment):
+    return [node for node in deployment.nodes if node.store_watcher.is_reader()]
+
+
+async def start_nodes(deployment, count):
+    deployment.write_configuration()
+    for name in ("i-1", "i-2"):
+        await deployment.add_instance(name)
+    nodes = [await deployment.add_node(f"vm-{number}") for number in range(count)]
+    await wait_until(
+        lambda: all(len(node.fleet.membership.list_live()) == count for node in nodes),
+        "all nodes know each other",
+    )
+    await wait_until(lambda: len(list_readers(deployment)) == 2, "two nodes read the store")
+    return nodes
+
+
+def test_calls_to_the_store_do_not_grow_with_the_number_of_nodes():
+    async def scenario(deployment):
+        await start_nodes(deployment, 6)
+        deployment.store.call_paths.clear()
+        await asyncio.sleep(3.0)
+        # two readers, each with about two reads of servers and one of the table per second
+        assert len(deployment.store.call_paths) <= 24
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("failure", ["killed", "refused"])
+def test_other_nodes_take_over_from_readers(failure):
+    async def scenario(deployment):
+        nodes = await start_nodes(deployment, 5)
+        readers = list_readers(deployment)
+        if failure == "killed":
+            for node in readers:
+                node.fleet.close()
+                node.datagrams.close()
+        else:
+            for node in readers:
+
+                async def refuse(*_args):
+                    raise store_watcher.PlatformError("refused")
+
+                node.store_watcher._store.read_server_changes = refuse
+        others = [node for node in nodes if node not in readers]
+        deployment.write_instance_record("i-1", state="draining")
+        for node in others:
+            await wait_until(
+                lambda node=node: node.registry.count_usable() == 1, "i-1 is leaving", 5.0
+            )
+        deployment.write_configuration(version=9)
+        for node in others:
+            await wait_until(
+                lambda node=node: node.gateway.routing_table.version == 9, "version 9", 5.0
+            )
+
+    run_scenario(scenario)
+
+
+def test_large_routing_table_reaches_all_nodes():
+    async def scenario(deployment):
+        nodes = await start_nodes(deployment, 4)
+        routes = [build_route(f"/p{number}/") for number in range(1400)]
+        deployment.write_configuration(version=5, routes=routes)
+        for node in nodes:
+            await wait_until(
+                lambda node=node: node.gateway.routing_table.version == 5, "version 5", 2.0
+            )
+            assert (await deployment.send_request(node, "/p1399/x"))[0] == 200
+
+    run_scenario(scenario)
