Probe servers before each placement in fleets of every size; share no load

Cause: at 6 and 7 nodes the stream of load notices is most of the bytes between failure domains, and its reports are 25 to 50 ms old.

So one mechanism replaces two: the load exchange, the assignment of servers to probing nodes and their messages are removed.

--- a/src/jasmineseam/operations/node_settings.py
+++ b/src/jasmineseam/operations/node_settings.py
@@ -91,15 +91,14 @@
 
 
 class ProbeOptions(msgspec.Struct, kw_only=True, forbid_unknown_fields=True, frozen=True):
-    """Probe intervals.
+    """Probes for the placement of requests.
 
-    :param interval_s: time between two probes of a server by the node assigned to it, in seconds.
-    :param idle_interval_s: time between two probes of a server whose service receives no requests,
-        in seconds.
+    :param per_placement: number of servers that are probed before a request is placed; 0 for none.
+    :param wait_s: time that a request waits for their reports at most, in seconds.
     """
 
-    interval_s: Seconds = 0.05
-    idle_interval_s: Seconds = 1.0
+    per_placement: t.Annotated[int, msgspec.Meta(ge=0, le=100)] = 4
+    wait_s: Seconds = 0.025
 
 
 class NodeOptions(msgspec.Struct, kw_only=True, forbid_unknown_fields=True, frozen=True):
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -333,37 +333,6 @@
     departures: list[Departure] = []
 
 
-class LoadReportItem(msgspec.Struct, array_like=True, frozen=True):
-    """Load report that a node has received from a server.
-
-    :param running: requests that the server runs now.
-    :param waiting: requests in the server's queue.
-    :param slots: maximum number of requests that the server runs concurrently.
-    :param slowness_pct: current service time in percent of normal.
-    :param age_ms: time since the node received the report, in milliseconds.
-    """
-
-    server_id: str
-    running: int
-    waiting: int
-    slots: int
-    slowness_pct: int
-    age_ms: int
-
-
-class LoadNotice(Message, tag="load", rename={"vm_id": "vm", "reports": "r", "counts": "c"}):
-    """Sends load reports and in-flight counts that changed since the node's last notice.
-
-    :param reports: new load reports of servers.
-    :param counts: pairs of a server id and the number of the node's requests in flight at this
-        server.
-    """
-
-    vm_id: str
-    reports: list[LoadReportItem]
-    counts: list[tuple[str, int]]
-
-
 class DumpRequest(Message, tag="dump-request"):
     """Requests the state of a process."""
 
@@ -402,7 +371,6 @@
     | Update
     | StateRequest
     | StateReply
-    | LoadNotice
     | DumpRequest
     | DumpReply
     | RefusedReply
--- a/src/jasmineseam/programs/dispatchers.py
+++ b/src/jasmineseam/programs/dispatchers.py
@@ -16,8 +16,6 @@
 
 # time for which a server outside of the subset is used
 BORROW_TIME_S = 3.0
-# Without load notices of other nodes, the newest report counts as occupancy for this time.
-REPORT_LIFETIME_S = 1.0
 
 
 class Dispatchers:
@@ -51,8 +49,6 @@
         # Number of all nodes, and of those in this node's failure domain.
         self.node_count = 1
         self._local_node_count = 1
-        # Whether this node uses all servers, whose load the nodes tell each other.
-        self._shared = True
 
     def list_all(self) -> list[Dispatcher]:
         """Return all dispatchers."""
@@ -73,17 +69,16 @@
             self._refresh_dispatcher(dispatcher)
         return dispatcher
 
-    def set_node_counts(self, node_count: int, local_node_count: int, *, shared: bool) -> None:
+    def set_node_counts(self, node_count: int, local_node_count: int) -> None:
         """Set how many nodes use the same servers.
 
         :param node_count: the number of all nodes.
         :param local_node_count: the number of nodes in this node's failure domain.
-        :param shared: whether every node uses all servers, whose load the nodes tell each other.
         """
-        counts = (node_count, local_node_count, shared)
-        if counts == (self.node_count, self._local_node_count, self._shared):
+        if (node_count, local_node_count) == (self.node_count, self._local_node_count):
             return
-        self.node_count, self._local_node_count, self._shared = counts
+        self.node_count = node_count
+        self._local_node_count = local_node_count
         for dispatcher in self._by_service.values():
             self._refresh_dispatcher(dispatcher)
 
@@ -168,7 +163,7 @@
         for registered in usable:
             server = registered.server
             load = dispatcher.loads.get(server.server_id)
-            in_subset = subset is None or server.server_id in subset
+            in_subset = server.server_id in subset
             if not in_subset and (load is None or not _is_borrowed(load, now)):
                 continue
             # Load state is created for a new server, and replaced if the address or the start time
@@ -187,14 +182,8 @@
             loads[server.server_id] = load
         dispatcher.loads = loads
 
-    def _choose_subset(
-        self, dispatcher: Dispatcher, usable: list[RegisteredServer]
-    ) -> set[str] | None:
-        """Choose the servers that this node uses, ``None`` for all of them."""
-        if self._shared:
-            dispatcher.node_count = self.node_count
-            dispatcher.report_lifetime_s = 0.0
-            return None
+    def _choose_subset(self, dispatcher: Dispatcher, usable: list[RegisteredServer]) -> set[str]:
+        """Choose the servers that this node uses."""
         members = [
             SubsetMember(registered.server.server_id, registered.server.failure_domain)
             for registered in usable
@@ -207,7 +196,6 @@
             local_node_count=self._local_node_count,
         )
         dispatcher.node_count = max(1.0, self.node_count * len(subset) / max(1, len(usable)))
-        dispatcher.report_lifetime_s = REPORT_LIFETIME_S
         return set(subset)
 
     def _create_load(self, registered: RegisteredServer, now: float) -> ServerLoad:
--- a/src/jasmineseam/programs/gateway.py
+++ b/src/jasmineseam/programs/gateway.py
@@ -35,7 +35,6 @@
 from ..transport.connection_pool import ConnectionPool
 from .dispatchers import Dispatchers
 from .hedge import race_attempts
-from .load_exchange import LoadUpdateBuffer
 from .proxied_request import ProxiedRequest
 from .proxied_request import build_request_log_line
 from .request_body import read_body
@@ -81,7 +80,6 @@
     :param header_codec: decodes and encodes the headers of requests and responses.
     :param registry: the registered servers.
     :param retry_limits: the limits on retries and hedges of each service, summed over all nodes.
-    :param load_updates: collects load data for the other nodes.
     :param request_log: writes a line for each request, within its rate limit.
     :param on_server_leaving: called with a server's id and the Unix time of its start in
         milliseconds if a response reports that the server is leaving.
@@ -96,7 +94,6 @@
         header_codec: HeaderCodec,
         registry: ServerRegistry,
         retry_limits: RetryBudgetSettings,
-        load_updates: LoadUpdateBuffer,
         request_log: RequestLog,
         on_server_leaving: t.Callable[[str, int], None] = lambda server_id, started_ms: None,
         caller_round_trip_s: float = 0.0,
@@ -118,7 +115,6 @@
         self._server_client = ServerClient(
             header_codec=header_codec,
             registry=registry,
-            load_updates=load_updates,
             record_report=self.dispatchers.record_report,
             record_server_state=self.record_server_state,
         )
@@ -401,23 +397,14 @@
             overdue = now - started_at > HEDGE_OVERDUE_FACTOR * proxied.service_time_s
             if not overdue and load.get_fresh_slowness(now) < HEDGE_MIN_SLOWNESS:
                 return None
-            if dispatcher.report_lifetime_s > 0.0:
-                return send_probed_hedge()
-            hedge_server = choose_server()
-            if hedge_server is None or not budget.take_attempt(HEDGE_RESERVED_BUDGET_FRACTION):
-                return None
-            return self._server_client.send_attempt(proxied, hedge_server)
-
-        def choose_server() -> ServerLoad | None:
-            return dispatcher.choose_hedge_server(
-                proxied.excluded_server_ids,
-                proxied.service_time_s,
-                proxied.target_at - time.monotonic(),
-            )
+            return send_probed_hedge()
 
         async def send_probed_hedge() -> ServerResponse:
             await self.refresh_loads(dispatcher, self._build_placement_request(proxied))
-            hedge_server = choose_server()
+            time_to_target_s = proxied.target_at - time.monotonic()
+            hedge_server = dispatcher.choose_hedge_server(
+                proxied.excluded_server_ids, proxied.service_time_s, time_to_target_s
+            )
             if hedge_server is None or not budget.take_attempt(HEDGE_RESERVED_BUDGET_FRACTION):
                 raise AttemptNotRunError("no-hedge")
             return await self._server_client.send_attempt(proxied, hedge_server)
--- a/src/jasmineseam/programs/load_prober.py
+++ b/src/jasmineseam/programs/load_prober.py
@@ -1,8 +1,8 @@
-"""Probing the load of servers.
+"""Probing the load of servers for the placement of requests.
 
-While the nodes share load reports, each server is assigned to one node, which probes it and sends
-the reports to the other nodes. Otherwise a node probes a few servers just before it places a
-request, and again while requests wait for a server.
+The slowness of a host changes within a tenth of a second, so older reports say little. A node
+therefore probes a few of its servers just before it places a request, and again while requests
+wait for a server. The number of probes depends on the number of requests alone.
 """
 
 from __future__ import annotations
@@ -17,8 +17,6 @@
 
 from ..exceptions import AttemptError
 from ..exceptions import AttemptNotRunError
-from ..measuring.probe_assignment import ProberCandidate
-from ..measuring.probe_assignment import compute_probe_interval_s
 from ..operations.node_settings import ProbeOptions
 from ..requests.protocol import HeaderCodec
 from ..requests.protocol import ResponseHead
@@ -27,45 +25,27 @@
 from ..routing.load import ServerLoad
 from ..transport.response_memory import ResponseMemory
 from .gateway import Gateway
-from .load_exchange import LoadUpdateBuffer
 
-# Interval at which the prober checks which probes are due, while probes are shared.
-PROBE_POLL_INTERVAL_S = 0.01
-# Interval at which it checks whether probes are shared.
-IDLE_INTERVAL_S = 0.5
-# servers that are probed before a request is placed
-PROBES_PER_PLACEMENT = 4
-# A request waits at most this long for the reports.
-PROBE_WAIT_S = 0.025
-# interval between the probes for requests that wait for a server
-QUEUE_PROBE_INTERVAL_S = 0.02
-# A younger report is not refreshed.
-MIN_REPORT_AGE_S = 0.01
-# part of the limit on probes to a server that nodes use for probes before a placement
-PLACEMENT_PROBES_FRACTION = 0.8
 PROBE_TIMEOUT_S = 0.5
-ASSIGNMENT_REFRESH_INTERVAL_S = 0.25
 MAX_PROBE_BODY_BYTES = 65_536
 # for the bodies of all probe responses that are being received
 MAX_PROBE_MEMORY_BYTES = 8 * 1024 * 1024
-# The servers of a service that received a request within this time are probed every
-# ``ProbeOptions.interval_s``, those of other services every ``ProbeOptions.idle_interval_s``.
-ACTIVE_SERVICE_WINDOW_S = 2.0
-# A probe is skipped if the latest report is younger than this fraction of the probe interval.
-FRESH_REPORT_FRACTION = 0.5
+# interval between the probes for requests that wait for a server
+QUEUE_PROBE_INTERVAL_S = 0.02
+# A younger report is not refreshed.
+MIN_REPORT_AGE_S = 0.01
+# Part of the limit on probes to a server that the nodes use; their number is only an estimate.
+USABLE_LIMIT_FRACTION = 0.8
 _logger = logbook.Logger("probes")
 
 
 class LoadProber:
-    """Probes the servers that are assigned to this node.
+    """Probes servers when load reports are needed.
 
     :param gateway: provides the routing table, the dispatchers and the connection pool.
     :param header_codec: decodes the response headers of servers.
-    :param load_updates: collects the received reports for the other nodes.
-    :param options: the probe intervals.
-    :param own_vm_id: the VM of this node.
+    :param options: how many servers are probed, and how long a request waits for their reports.
     :param max_probes_per_s: maximum probes per second that one server may receive from all nodes.
-    :param list_prober_candidates: returns all nodes that may probe, including this one.
     """
 
     def __init__(
@@ -73,61 +53,38 @@
         *,
         gateway: Gateway,
         header_codec: HeaderCodec,
-        load_updates: LoadUpdateBuffer,
         options: ProbeOptions,
-        own_vm_id: str,
         max_probes_per_s: float,
-        list_prober_candidates: t.Callable[[], list[ProberCandidate]],
     ) -> None:
         self._gateway = gateway
         self._header_codec = header_codec
-        self._load_updates = load_updates
         self._options = options
-        self._own_vm_id = own_vm_id
         self.max_probes_per_s = max_probes_per_s
-        self._list_prober_candidates = list_prober_candidates
         self._response_memory = ResponseMemory(max_bytes=MAX_PROBE_MEMORY_BYTES)
-        self._probe_intervals_s: dict[str, float] = {}
-        self._assignments_refreshed_at = float("-inf")
         self._probe_tasks: dict[str, asyncio.Task] = {}
         # tasks that probe for waiting requests, by service
         self._queue_tasks: dict[str, asyncio.Task] = {}
         self._rng = random.Random()
-        # whether the nodes send each other load reports
-        self.shared = True
-        gateway.dispatchers.on_queued = self._handle_queued_request
         self.sent_count = 0
         self.failed_count = 0
-        self.stopped = False
-
-    async def probe_forever(self) -> None:
-        """Send probes as they become due, until cancelled."""
-        while True:
-            await asyncio.sleep(PROBE_POLL_INTERVAL_S if self.shared else IDLE_INTERVAL_S)
-            if self.stopped or not self.shared:
-                continue
-            now = time.monotonic()
-            if now - self._assignments_refreshed_at >= ASSIGNMENT_REFRESH_INTERVAL_S:
-                self._refresh_assignments(now)
-            for dispatcher in self._gateway.dispatchers.list_all():
-                self._start_due_probes(dispatcher, now)
+        gateway.dispatchers.on_queued = self._handle_queued_request
 
     async def refresh_loads(self, dispatcher: Dispatcher, request: PlacementRequest) -> None:
         """Obtain reports of a few servers for the placement of a request.
 
         If none of this node's servers suits the request, servers outside of its subset are used
-        as well. Nothing is done while reports are shared.
+        as well.
         """
-        if self.shared or self.stopped:
-            return
         await self._probe_sample(dispatcher, request.excluded_server_ids)
         if dispatcher.has_suitable_server(request):
             return
-        borrowed = self._gateway.dispatchers.borrow_servers(dispatcher, PROBES_PER_PLACEMENT)
+        borrowed = self._gateway.dispatchers.borrow_servers(
+            dispatcher, self._options.per_placement
+        )
         await self._probe_all(dispatcher, borrowed)
 
     def _handle_queued_request(self, dispatcher: Dispatcher) -> None:
-        if self.shared or self.stopped or dispatcher.service in self._queue_tasks:
+        if dispatcher.service in self._queue_tasks:
             return
         task = asyncio.create_task(self._probe_while_queued(dispatcher))
         self._queue_tasks[dispatcher.service] = task
@@ -154,21 +111,21 @@
             and now - load.last_probe_at >= min_interval_s
             and load.server_id not in self._probe_tasks
         ]
-        count = min(PROBES_PER_PLACEMENT, len(candidates))
+        count = min(self._options.per_placement, len(candidates))
         await self._probe_all(dispatcher, self._rng.sample(candidates, count))
 
     async def _probe_all(self, dispatcher: Dispatcher, loads: list[ServerLoad]) -> None:
         if not loads or self.max_probes_per_s <= 0.0:
             return
         tasks = [self._start_probe(dispatcher, load) for load in loads]
-        await asyncio.wait(tasks, timeout=PROBE_WAIT_S)
+        await asyncio.wait(tasks, timeout=self._options.wait_s)
 
     def _compute_min_interval_s(self, dispatcher: Dispatcher) -> float:
         """Return the least interval between two probes of a server by this node, in seconds.
 
         With it, the nodes that use the same servers stay within the limit together.
         """
-        limit_per_s = max(0.001, PLACEMENT_PROBES_FRACTION * self.max_probes_per_s)
+        limit_per_s = max(0.001, USABLE_LIMIT_FRACTION * self.max_probes_per_s)
         return dispatcher.node_count / limit_per_s
 
     def _start_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> asyncio.Task:
@@ -178,50 +135,17 @@
         task.add_done_callback(lambda _, key=load.server_id: self._probe_tasks.pop(key, None))
         return task
 
-    def _refresh_assignments(self, now: float) -> None:
-        self._assignments_refreshed_at = now
-        self._probe_intervals_s = {}
-        candidates = self._list_prober_candidates()
-        for dispatcher in self._gateway.dispatchers.list_all():
-            active = now - dispatcher.last_request_at < ACTIVE_SERVICE_WINDOW_S
-            target_interval_s = (
-                self._options.interval_s if active else self._options.idle_interval_s
-            )
-            for load in dispatcher.loads.values():
-                interval_s = compute_probe_interval_s(
-                    load.server_id,
-                    load.failure_domain,
-                    candidates,
-                    own_vm_id=self._own_vm_id,
-                    target_interval_s=target_interval_s,
-                    max_probes_per_s=self.max_probes_per_s,
-                )
-                if interval_s is not None:
-                    self._probe_intervals_s[load.server_id] = interval_s
-
-    def _start_due_probes(self, dispatcher: Dispatcher, now: float) -> None:
-        for load in dispatcher.loads.values():
-            interval_s = self._probe_intervals_s.get(load.server_id)
-            if interval_s is None or load.server_id in self._probe_tasks:
-                continue
-            if now - load.last_probe_at < interval_s or now < load.paused_until:
-                continue
-            if now - load.reported_at < FRESH_REPORT_FRACTION * interval_s:
-                continue
-            self._start_probe(dispatcher, load)
-
     async def _run_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> None:
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 await self._send_probe(dispatcher, load)
         except (AttemptError, TimeoutError) as error:
             self.failed_count += 1
-            if not self.shared:
-                load.unanswered_probe = True
-                if isinstance(error, AttemptNotRunError):
-                    load.eject(time.monotonic())
+            load.unanswered_probe = True
+            if isinstance(error, AttemptNotRunError):
+                load.eject(time.monotonic())
             _logger.debug(
-                "Load probe of server {} failed; retrying after the probe interval: {!r}",
+                "Load probe of server {} failed; other servers are preferred: {!r}",
                 load.server_id,
                 error,
             )
@@ -256,7 +180,6 @@
         if head.report is None:
             return
         if self._gateway.dispatchers.record_report(dispatcher, load, head.report, observed_at):
-            self._load_updates.record_report(load.server_id, head.report, observed_at)
             dispatcher.place_queued_requests()
 
     def _decode_probe_head(self, status: int, headers: t.Any) -> ResponseHead | None:
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/programs/node.py
@@ -18,10 +18,7 @@
 
 from ..exceptions import InvariantError
 from ..exceptions import SettingsError
-from ..measuring.load_sharing import compute_notice_interval_s
-from ..measuring.probe_assignment import ProberCandidate
 from ..membership.nodes import NodeInfo
-from ..membership.nodes import NodeStatus
 from ..membership.registry import Departure
 from ..membership.registry import ServerRegistry
 from ..operations.daemon import Daemon
@@ -31,7 +28,6 @@
 from ..operations.request_log import RequestLog
 from ..peers.datagrams import DatagramEndpoint
 from ..peers.messages import FleetMessage
-from ..peers.messages import LoadNotice
 from ..peers.messages import Message
 from ..peers.messages import RefusedReply
 from ..peers.messages import ServersNotice
@@ -42,8 +38,6 @@
 from .fleet import Fleet
 from .fleet import FleetHandlers
 from .gateway import Gateway
-from .load_exchange import LoadExchange
-from .load_exchange import LoadUpdateBuffer
 from .load_prober import LoadProber
 from .node_endpoints import EndpointConfig
 from .node_endpoints import NodeEndpoints
@@ -120,7 +114,6 @@
         self._runners: list[web.ServerRunner] = []
         self._caller_server: CallerServer | None = None
         self.registry = ServerRegistry(clock=time.monotonic, on_change=self._handle_server_change)
-        self.load_updates = LoadUpdateBuffer()
         self.request_log = RequestLog(write=output.write, lines_per_s=options.log_lines_per_s)
         self.gateway = Gateway(
             node_id=settings.vm.id,
@@ -128,7 +121,6 @@
             header_codec=header_codec,
             registry=self.registry,
             retry_limits=settings.retries,
-            load_updates=self.load_updates,
             request_log=self.request_log,
             on_server_leaving=self._report_departure,
             caller_round_trip_s=options.caller_round_trip_s,
@@ -161,12 +153,6 @@
             clock=time.monotonic,
             rng=random.Random(),
         )
-        self.load_exchange = LoadExchange(
-            vm_id=settings.vm.id,
-            updates=self.load_updates,
-            dispatchers=self.gateway.dispatchers,
-            broadcast=self._broadcast_load,
-        )
 
     @property
     def ready(self) -> bool:
@@ -195,11 +181,8 @@
         self.prober = LoadProber(
             gateway=self.gateway,
             header_codec=self._header_codec,
-            load_updates=self.load_updates,
             options=self.options.probes,
-            own_vm_id=self.settings.vm.id,
             max_probes_per_s=self.settings.probes_per_s,
-            list_prober_candidates=self._list_prober_candidates,
         )
         self.gateway.refresh_loads = self.prober.refresh_loads
         self._apply_node_count()
@@ -208,8 +191,6 @@
             self.store_watcher.watch_servers,
             self._watch_nodes,
             self.fleet.run_forever,
-            self.prober.probe_forever,
-            self.load_exchange.broadcast_forever,
             self._run_maintenance_forever,
             self._output.flush_periodically,
         ):
@@ -247,8 +228,6 @@
     def _handle_datagram(self, message: Message) -> None:
         if isinstance(message, FleetMessage):
             self.fleet.handle(message)
-        elif isinstance(message, LoadNotice):
-            self.load_exchange.apply_notice(message)
 
     async def stop_gracefully(self) -> None:
         """Announce the stop to the peers, stop listening, and wait for running requests to finish.
@@ -261,7 +240,6 @@
         self.gateway.draining = True
         self._publish_own_state(urgent=True)
         await asyncio.sleep(LISTENING_GRACE_FRACTION * grace_s)
-        self.prober.stopped = True
         # The first runner is that of the listener for callers' requests.
         for site in list(self._runners[0].sites):
             await site.stop()
@@ -322,23 +300,6 @@
             "probes": {"sent": self.prober.sent_count, "failed": self.prober.failed_count},
         }
 
-    def _list_prober_candidates(self) -> list[ProberCandidate]:
-        vm = self.settings.vm
-        candidates = [ProberCandidate(vm_id=vm.id, failure_domain=vm.failure_domain)]
-        membership = self.fleet.membership
-        statuses = membership.list_statuses()
-        for info in (*membership.list_peers(), *membership.list_failed()):
-            if info.leaving:
-                continue
-            candidates.append(
-                ProberCandidate(
-                    vm_id=info.vm_id,
-                    failure_domain=info.failure_domain,
-                    reachable=statuses[info.vm_id] == NodeStatus.ALIVE.value,
-                )
-            )
-        return candidates
-
     def _apply_routing_table(self, table: RoutingTable, source: str) -> bool:
         applied = self.gateway.apply_routing_table(table)
         if applied:
@@ -385,19 +346,12 @@
     def _add_departures(self, departures: list[Departure]) -> list[Departure]:
         return [departure for departure in departures if self.registry.add_departure(departure)]
 
-    def _broadcast_load(self, notice: LoadNotice) -> None:
-        addresses = [info.notice_address for info in self.fleet.membership.list_peers()]
-        self.datagrams.send_to_all(addresses, notice)
-
     def _apply_node_count(self) -> None:
-        """Adapt limits, subsets and the exchange of load to the number of nodes."""
+        """Adapt shared limits and the subsets of servers to the number of nodes."""
         membership = self.fleet.membership
-        count = membership.count()
-        local_count = membership.count(self.settings.vm.failure_domain)
-        interval_s = compute_notice_interval_s(count)
-        self.load_exchange.interval_s = interval_s
-        self.prober.shared = interval_s is not None
-        self.gateway.dispatchers.set_node_counts(count, local_count, shared=self.prober.shared)
+        self.gateway.dispatchers.set_node_counts(
+            membership.count(), membership.count(self.settings.vm.failure_domain)
+        )
 
     async def _run_supervised(self, run_forever: t.Callable[[], t.Awaitable[None]]) -> None:
         """Run a background task, and start it again after an unexpected error.
--- a/src/jasmineseam/programs/server_client.py
+++ b/src/jasmineseam/programs/server_client.py
@@ -20,7 +20,6 @@
 from ..transport.connection_pool import ConnectionPool
 from ..transport.response_memory import ResponseMemory
 from ..transport.server_connection import ServerConnection
-from .load_exchange import LoadUpdateBuffer
 from .proxied_request import ProxiedRequest
 
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
@@ -42,8 +41,7 @@
     :param header_codec: encodes request headers and decodes response headers.
     :param registry: the registered servers; a server is marked as stale there if a request for it
         reaches another server.
-    :param load_updates: collects load data for the other nodes.
-    :param record_report: stores a load report; returns whether it is newer than the stored one.
+    :param record_report: stores a load report.
     :param record_server_state: called with the load state of a server and the head of its
         response.
     """
@@ -53,13 +51,11 @@
         *,
         header_codec: HeaderCodec,
         registry: ServerRegistry,
-        load_updates: LoadUpdateBuffer,
         record_report: t.Callable[..., bool],
         record_server_state: t.Callable[[ServerLoad, ResponseHead], None],
     ) -> None:
         self._header_codec = header_codec
         self._registry = registry
-        self._load_updates = load_updates
         self._record_report = record_report
         self._record_server_state = record_server_state
         self._response_memory = ResponseMemory(max_bytes=MAX_BUFFERED_BYTES)
@@ -75,7 +71,6 @@
         dispatcher = proxied.dispatcher
         started_at = time.monotonic()
         in_flight_token = load.start_request(started_at)
-        self._load_updates.record_in_flight(load.server_id, len(load.request_start_times))
         slowness = load.report.slowness if load.report is not None else 1.0
         # The age in the attempt trace is at most 99,999 ms; it is -1 without a load report.
         report_age_ms = (
@@ -101,7 +96,6 @@
             raise
         finally:
             load.finish_request(in_flight_token)
-            self._load_updates.record_in_flight(load.server_id, len(load.request_start_times))
             dispatcher.record_completion()
             duration_ms = int((time.monotonic() - started_at) * 1000)
             proxied.attempt_trace.append(
@@ -158,10 +152,8 @@
         observed_at = time.monotonic()
         head = exchange.head
         report = head.report
-        if report is not None and self._record_report(
-            proxied.dispatcher, load, report, observed_at
-        ):
-            self._load_updates.record_report(load.server_id, report, observed_at)
+        if report is not None:
+            self._record_report(proxied.dispatcher, load, report, observed_at)
         if not head.misdirected:
             self._record_server_state(load, head)
         body, complete = await connection.read_body(
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -97,9 +97,6 @@
         self._service_time_s_by_route: dict[str, float] = {}
         # number of nodes that send requests to the same servers, on average
         self.node_count = 1.0
-        # Maximum age of a report whose requests count as in flight, in seconds; 0 if the other
-        # nodes send their numbers of requests in flight.
-        self.report_lifetime_s = 0.0
         # called with this dispatcher when a request has to wait for a server
         self.on_queued: t.Callable[[Dispatcher], None] = lambda dispatcher: None
         self._queue: list[_QueuedRequest] = []
@@ -276,7 +273,6 @@
             service_time_s=self.service_time_s,
             failure_domain=self._failure_domain,
             rng=self._rng,
-            report_lifetime_s=self.report_lifetime_s,
         )
 
     def _is_feasible(self, request: PlacementRequest, now: float) -> bool:
@@ -335,7 +331,7 @@
             raise self._build_overload_error(request, now)
         if best_free is not None:
             return best_free.load
-        in_flight = best.load.count_busy_slots(now, self.report_lifetime_s)
+        in_flight = best.load.count_in_flight(now)
         has_queue_space = in_flight < best.load.slots * (1.0 + MAX_SERVER_QUEUE_FRACTION)
         if (
             has_queue_space
@@ -350,7 +346,7 @@
         in_flight = 0
         slots = 0
         for load in self.loads.values():
-            in_flight += load.count_busy_slots(now, self.report_lifetime_s)
+            in_flight += load.count_in_flight(now)
             slots += load.slots
         return in_flight >= (1.0 - RESERVED_SHARE * self._feasible_fraction) * slots
 
--- a/src/jasmineseam/routing/load.py
+++ b/src/jasmineseam/routing/load.py
@@ -4,7 +4,8 @@
 
 from ..measuring.load_reports import DetailedLoadReport
 
-PEER_IN_FLIGHT_EXPIRY_S = 1.0
+# a report's requests count as in flight for this time
+REPORT_LIFETIME_S = 1.0
 # up to this age a report is treated as the current state, in seconds
 MAX_FRESH_REPORT_AGE_S = 0.1
 FAILURE_RATE_EWMA_ALPHA = 0.25
@@ -30,7 +31,6 @@
         "_consecutive_ejections",
         "_failure_rate",
         "_failure_rate_at",
-        "_in_flight_by_peer",
         "_last_token",
         "address",
         "borrowed_until",
@@ -61,7 +61,6 @@
         # start times of the requests of this node that are in flight, by token, oldest first
         self.request_start_times: dict[int, float] = {}
         self._last_token = 0
-        self._in_flight_by_peer: dict[str, tuple[int, float]] = {}
         self.report: DetailedLoadReport | None = None
         self.reported_at = float("-inf")
         self.last_probe_at = float("-inf")
@@ -111,35 +110,16 @@
             return 1.0
         return self.report.slowness
 
-    def record_peer_in_flight(self, peer: str, count: int, observed_at: float) -> None:
-        """Store the number of requests that a peer node reports as in flight at the server."""
-        if count:
-            self._in_flight_by_peer[peer] = (count, observed_at)
-        else:
-            self._in_flight_by_peer.pop(peer, None)
-
     def count_in_flight(self, now: float) -> int:
-        """Return the number of requests of all nodes in flight at the server.
-
-        Numbers that peers reported more than ``PEER_IN_FLIGHT_EXPIRY_S`` ago are dropped.
-        """
-        count = len(self.request_start_times)
-        for peer, (peer_count, observed_at) in list(self._in_flight_by_peer.items()):
-            if now - observed_at > PEER_IN_FLIGHT_EXPIRY_S:
-                del self._in_flight_by_peer[peer]
-                continue
-            count += peer_count
-        return count
-
-    def count_busy_slots(self, now: float, report_lifetime_s: float) -> int:
         """Return how many requests the server runs or queues, as far as this node knows.
 
-        :param report_lifetime_s: maximum age of a report that is taken into account, in seconds.
+        A server also runs requests of other nodes, and those whose callers have disconnected; only
+        its reports count them.
         """
-        in_flight = self.count_in_flight(now)
-        if self.report is None or now - self.reported_at > report_lifetime_s:
-            return in_flight
-        return max(in_flight, self.report.running + self.report.waiting)
+        own_count = len(self.request_start_times)
+        if self.report is None or now - self.reported_at > REPORT_LIFETIME_S:
+            return own_count
+        return max(own_count, self.report.running + self.report.waiting)
 
     def record_outcome(self, failed: bool, now: float) -> None:
         """Update the failure rate from one finished attempt."""
--- a/src/jasmineseam/routing/placement.py
+++ b/src/jasmineseam/routing/placement.py
@@ -12,7 +12,6 @@
 import random
 import typing as t
 
-from .load import MAX_FRESH_REPORT_AGE_S
 from .load import ServerLoad
 
 # time constant of the exponential decay of a report's weight, in seconds; about the time in which
@@ -90,20 +89,15 @@
     average_slowness: float,
     service_time_s: float,
     failure_domain: str,
-    report_lifetime_s: float = 0.0,
 ) -> ServerEstimate:
     """Return the latency estimate of a request that is sent to a server now.
 
     :param average_slowness: average slowness of the service's hosts.
     :param service_time_s: service time on a host of normal speed, in seconds.
     :param failure_domain: failure domain of this node.
-    :param report_lifetime_s: maximum age of a report whose requests count as in flight, in
-        seconds; at least :data:`MAX_FRESH_REPORT_AGE_S` is used.
     """
     factor = estimate_slowness(load, now, average_slowness)
-    # a server continues to run requests whose callers have disconnected; only its report counts
-    # them
-    in_flight = load.count_busy_slots(now, max(MAX_FRESH_REPORT_AGE_S, report_lifetime_s))
+    in_flight = load.count_in_flight(now)
     slots = load.slots
     excess = in_flight + 1 - slots
     if excess > 0:
@@ -133,7 +127,6 @@
     service_time_s: float,
     failure_domain: str,
     rng: random.Random,
-    report_lifetime_s: float = 0.0,
 ) -> tuple[ServerEstimate | None, ServerEstimate | None]:
     """Return the best server with a free slot and the best server overall.
 
@@ -143,15 +136,12 @@
     :param service_time_s: service time on a host of normal speed, in seconds.
     :param failure_domain: failure domain of this node.
     :param rng: breaks ties, so that nodes with the same information choose different servers.
-    :param report_lifetime_s: see :func:`estimate_server`.
     """
     best_free = best = None
     for load in loads:
         if now < load.get_available_at():
             continue
-        candidate = estimate_server(
-            load, now, average_slowness, service_time_s, failure_domain, report_lifetime_s
-        )
+        candidate = estimate_server(load, now, average_slowness, service_time_s, failure_domain)
         factor = candidate.latency_factor * (1.0 + TIE_BREAK_JITTER_FRACTION * rng.random())
         candidate = ServerEstimate(load, factor, candidate.has_free_slot)
         if best is None or factor < best.latency_factor:
--- a/src/jasmineseam/routing/subsets.py
+++ b/src/jasmineseam/routing/subsets.py
@@ -13,7 +13,7 @@
 import xxhash
 
 # smallest subset, so that a few slow servers do not leave a node without a fast one
-MIN_SUBSET_SIZE = 16
+MIN_SUBSET_SIZE = 8
 # Each server is in the subsets of about this many nodes, so that its load does not depend on one.
 NODES_PER_SERVER = 4
 # With fewer servers in its own failure domain, a node uses servers of all failure domains.
