Split the programs by product: node, fleet and the stand-alone programs

It now holds the stand-alone programs. node/ holds the node's request path and its daemon, fleet/ what a node knows of the others. The gateway's attempts, the daemon's listeners, the failure detector, the outbox and the store's protocol are modules of their own; node metrics no longer need the node.

Found before they could happen: a state with a huge version, and a negative age of the list, would have been believed; both are now rejected when the message is decoded.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -14,14 +14,14 @@
 import typing as t
 
 from bench.virtual_time import run_in_virtual_time
+from jasmineseam.fleet.spreading import Fleet
+from jasmineseam.fleet.spreading import FleetHandlers
 from jasmineseam.membership.nodes import NodeInfo
 from jasmineseam.membership.store_position import StorePosition
 from jasmineseam.peers.messages import FleetMessage
 from jasmineseam.peers.messages import ServersNotice
 from jasmineseam.peers.messages import StateDigest
 from jasmineseam.peers.messages import encode_message
-from jasmineseam.programs.fleet import Fleet
-from jasmineseam.programs.fleet import FleetHandlers
 
 CONTACT_COUNT = 3
 # time of a request from one node to another, which brings missed news
--- /dev/null
+++ b/src/jasmineseam/fleet/outbox.py
@@ -0,0 +1,58 @@
+"""News that a node has yet to send, in parts that fit into datagrams."""
+
+from __future__ import annotations
+
+import typing as t
+
+from ..membership.nodes import NodeInfo
+from ..membership.registry import Departure
+from ..peers.messages import ServersNotice
+
+# Parts of one update, so that it fits into a datagram.
+MAX_NODES_PER_UPDATE = 8
+MAX_DEPARTURES_PER_UPDATE = 15
+
+
+class Outbox:
+    """News to be sent, which is divided into parts that fit into datagrams."""
+
+    __slots__ = ("_departures", "_nodes", "_servers", "_suspected")
+
+    def __init__(self) -> None:
+        self._nodes: dict[str, NodeInfo] = {}
+        self._suspected: dict[str, int] = {}
+        self._departures: dict[str, Departure] = {}
+        self._servers: list[ServersNotice] = []
+
+    def add(
+        self,
+        nodes: t.Iterable[NodeInfo],
+        suspected: t.Iterable[tuple[str, int]],
+        departures: t.Iterable[Departure],
+        servers: ServersNotice | None,
+    ) -> None:
+        """Add news; an older state of the same node is replaced."""
+        self._nodes.update((info.vm_id, info) for info in nodes)
+        self._suspected.update(suspected)
+        self._departures.update((departure.server_id, departure) for departure in departures)
+        if servers is not None:
+            self._servers.append(servers)
+
+    def take_parts(self) -> t.Iterator[dict[str, t.Any]]:
+        """Yield the contents of the updates to send, and empty the outbox."""
+        nodes = list(self._nodes.values())
+        suspected = list(self._suspected.items())
+        departures = list(self._departures.values())
+        servers = self._servers
+        self._nodes = {}
+        self._suspected = {}
+        self._departures = {}
+        self._servers = []
+        for start in range(0, len(nodes), MAX_NODES_PER_UPDATE):
+            yield {"nodes": nodes[start : start + MAX_NODES_PER_UPDATE]}
+        for start in range(0, len(suspected), MAX_NODES_PER_UPDATE):
+            yield {"suspected": suspected[start : start + MAX_NODES_PER_UPDATE]}
+        for start in range(0, len(departures), MAX_DEPARTURES_PER_UPDATE):
+            yield {"departures": departures[start : start + MAX_DEPARTURES_PER_UPDATE]}
+        for notice in servers:
+            yield {"servers": notice}
--- a/src/jasmineseam/programs/fleet.py
+++ b/src/jasmineseam/fleet/spreading.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import contextlib
 import random
 import typing as t
@@ -31,22 +30,14 @@
 from ..peers.messages import ServersNotice
 from ..peers.messages import StateDigest
 from ..peers.messages import Update
+from .failure_detection import FailureDetector
+from .outbox import Outbox
 
 PING_PERIOD_S = 0.5
 # period while this node knows no other node, but has addresses to contact
 JOIN_PERIOD_S = 0.1
 # A node that reaches none of its contacts within this time acts as the only node.
 JOIN_TIMEOUT_S = 1.0
-ACK_TIMEOUT_S = 0.15
-# time for the answer of a node that is pinged by others, from its first ping
-INDIRECT_ACK_TIMEOUT_S = 0.4
-INDIRECT_PING_COUNT = 3
-# The timeouts grow while answers arrive late, which shows that this node is slow.
-MAX_TIMEOUT_FACTOR = 4
-# After a missed answer, more nodes are pinged per period, since many may have failed at once.
-MAX_PARALLEL_PINGS = 8
-# A timeout that fires later than this shows that this node itself was delayed.
-MAX_TIMER_DELAY_S = 0.1
 # number of nodes to which a node forwards news
 FANOUT = 4
 # News that arrives within this time is forwarded in one message.
@@ -54,9 +45,6 @@
 # interval between two contacts to nodes that failed or were never reached
 CONTACT_INTERVAL_S = 2.0
 NODES_REQUEST_INTERVAL_S = 1.0
-# Parts of one update, so that it fits into a datagram.
-MAX_NODES_PER_UPDATE = 8
-MAX_DEPARTURES_PER_UPDATE = 15
 _logger = logbook.Logger("fleet")
 
 
@@ -106,16 +94,15 @@
         self._clock = clock
         self._rng = rng
         self._started_at = clock()
-        self._ping_order: list[str] = []
-        self._last_number = 0
-        self._ack_events: dict[int, asyncio.Event] = {}
-        # numbers of the last pings that were not answered in time
-        self._late_pings: collections.deque[int] = collections.deque(maxlen=MAX_PARALLEL_PINGS)
-        # by number of an own ping on behalf of another node: its number and datagram address
-        self._relayed_pings: dict[int, tuple[int, str]] = {}
-        self._timeout_factor = 1
-        self._parallel_pings = 1
-        self._outbox = _Outbox()
+        self._detector = FailureDetector(
+            membership=self.membership,
+            send=send,
+            get_header=self._get_header,
+            publish=self.publish,
+            clock=clock,
+            rng=rng,
+        )
+        self._outbox = Outbox()
         self._flush_timer: asyncio.TimerHandle | None = None
         self._contacted_at = float("-inf")
         self._nodes_requested_at = float("-inf")
@@ -185,7 +172,7 @@
                 self._notify_changes()
                 continue
             started_at = self._clock()
-            await self._ping_next_nodes()
+            await self._detector.ping_next_nodes()
             self._contact_unreachable()
             for info in self.membership.expire():
                 _logger.warning(
@@ -205,11 +192,11 @@
             self.publish(nodes=[sender])
         self._joined.set()
         if isinstance(message, Ping):
-            self._send_ack(sender.notice_address, message.number, suspected=was_suspected)
+            self._detector.answer(message, suspected=was_suspected)
         elif isinstance(message, Ack):
-            self._handle_ack(message)
+            self._detector.handle_ack(message)
         elif isinstance(message, PingRequest):
-            self._relay_ping(message)
+            self._detector.relay_ping(message)
         elif isinstance(message, NodesRequest):
             self._send_nodes(sender.notice_address, message.group_hashes)
         elif isinstance(message, Update):
@@ -229,104 +216,6 @@
     def _get_header(self) -> dict[str, t.Any]:
         return {"sender": self.membership.own, "digest": self._build_digest()}
 
-    async def _ping_next_nodes(self) -> None:
-        targets = {}
-        for _ in range(self._parallel_pings):
-            target = self._choose_ping_target()
-            if target is not None:
-                targets[target.vm_id] = target
-        answered = await asyncio.gather(*(self._ping(target) for target in targets.values()))
-        if all(answered):
-            self._parallel_pings = 1
-        else:
-            self._parallel_pings = min(MAX_PARALLEL_PINGS, 2 * self._parallel_pings)
-
-    async def _ping(self, target: NodeInfo) -> bool:
-        """Ping a node, if necessary through others; return whether it is known to be alive."""
-        event = asyncio.Event()
-        self._last_number += 1
-        number = self._last_number
-        self._ack_events[number] = event
-        try:
-            self._send(target.notice_address, Ping(number=number, **self._get_header()))
-            if await self._wait_for_ack(event, ACK_TIMEOUT_S):
-                return True
-            self._send_ping_requests(target, number)
-            in_time = await self._wait_for_ack(event, INDIRECT_ACK_TIMEOUT_S - ACK_TIMEOUT_S)
-            if in_time is not False:
-                return True
-        finally:
-            del self._ack_events[number]
-            if not event.is_set():
-                self._late_pings.append(number)
-        if self.membership.suspect(target.vm_id, target.version):
-            _logger.info("Node {} does not answer; suspecting it.", target.vm_id)
-            news = [(target.vm_id, target.version)]
-            self.publish(suspected=news)
-            self._send(target.notice_address, Update(suspected=news, **self._get_header()))
-        return False
-
-    async def _wait_for_ack(self, event: asyncio.Event, timeout_s: float) -> bool | None:
-        """Return whether the answer has arrived; ``None`` if this node itself was delayed."""
-        timeout_s *= self._timeout_factor
-        due_at = self._clock() + timeout_s
-        try:
-            async with asyncio.timeout(timeout_s):
-                await event.wait()
-        except TimeoutError:
-            return None if self._clock() - due_at > MAX_TIMER_DELAY_S else False
-        self._timeout_factor = max(1, self._timeout_factor - 1)
-        return True
-
-    def _choose_ping_target(self) -> NodeInfo | None:
-        peers = {info.vm_id: info for info in self.membership.list_peers()}
-        while self._ping_order:
-            info = peers.get(self._ping_order.pop())
-            if info is not None:
-                return info
-        self._ping_order = list(peers)
-        self._rng.shuffle(self._ping_order)
-        return peers[self._ping_order.pop()] if self._ping_order else None
-
-    def _send_ping_requests(self, target: NodeInfo, number: int) -> None:
-        others = [info for info in self.membership.list_peers() if info.vm_id != target.vm_id]
-        helpers = self._rng.sample(others, min(INDIRECT_PING_COUNT, len(others)))
-        request = PingRequest(number=number, address=target.notice_address, **self._get_header())
-        for helper in helpers:
-            self._send(helper.notice_address, request)
-
-    def _relay_ping(self, request: PingRequest) -> None:
-        self._last_number += 1
-        number = self._last_number
-        self._relayed_pings[number] = (request.number, request.sender.notice_address)
-        loop = asyncio.get_running_loop()
-        loop.call_later(MAX_TIMEOUT_FACTOR, self._relayed_pings.pop, number, None)
-        self._send(request.address, Ping(number=number, **self._get_header()))
-
-    def _handle_ack(self, message: Ack) -> None:
-        if message.suspected and self.membership.refute(self.membership.own.version):
-            self.publish(nodes=[self.membership.own])
-        event = self._ack_events.get(message.number)
-        if event is not None:
-            event.set()
-        elif message.answering_id == message.sender.vm_id and message.number in self._late_pings:
-            self._timeout_factor = min(MAX_TIMEOUT_FACTOR, self._timeout_factor + 1)
-        relayed = self._relayed_pings.pop(message.number, None)
-        if relayed is not None:
-            number, address = relayed
-            self._send_ack(address, number, answering_id=message.answering_id)
-
-    def _send_ack(
-        self, address: str, number: int, *, answering_id: str = "", suspected: bool = False
-    ) -> None:
-        ack = Ack(
-            number=number,
-            answering_id=answering_id or self.membership.own.vm_id,
-            suspected=suspected,
-            **self._get_header(),
-        )
-        self._send(address, ack)
-
     def _handle_update(self, message: Update) -> None:
         own_version = self.membership.own.version
         new_nodes = [info for info in message.nodes if self.membership.apply(info)]
@@ -364,7 +253,7 @@
 
     def _send_nodes(self, address: str, group_hashes: list[int]) -> None:
         nodes, suspected = self.membership.list_differing(group_hashes)
-        outbox = _Outbox()
+        outbox = Outbox()
         outbox.add(nodes, suspected, [], None)
         for content in outbox.take_parts():
             self._send(address, Update(**content, **self._get_header()))
@@ -386,8 +275,7 @@
     def _contact(self, addresses: list[str]) -> None:
         self._contacted_at = self._clock()
         for address in addresses:
-            self._last_number += 1
-            self._send(address, Ping(number=self._last_number, **self._get_header()))
+            self._detector.send_ping(address)
 
     def _flush(self, fanout: int) -> None:
         if self._flush_timer is not None:
@@ -411,48 +299,3 @@
 def _get_reader_key(info: NodeInfo) -> tuple[bool, int]:
     unsuitable = info.leaving or not info.reads_store
     return unsuitable, xxhash.xxh3_64_intdigest(info.vm_id.encode())
-
-
-class _Outbox:
-    """News to be sent, which is divided into parts that fit into datagrams."""
-
-    __slots__ = ("_departures", "_nodes", "_servers", "_suspected")
-
-    def __init__(self) -> None:
-        self._nodes: dict[str, NodeInfo] = {}
-        self._suspected: dict[str, int] = {}
-        self._departures: dict[str, Departure] = {}
-        self._servers: list[ServersNotice] = []
-
-    def add(
-        self,
-        nodes: t.Iterable[NodeInfo],
-        suspected: t.Iterable[tuple[str, int]],
-        departures: t.Iterable[Departure],
-        servers: ServersNotice | None,
-    ) -> None:
-        """Add news; an older state of the same node is replaced."""
-        self._nodes.update((info.vm_id, info) for info in nodes)
-        self._suspected.update(suspected)
-        self._departures.update((departure.server_id, departure) for departure in departures)
-        if servers is not None:
-            self._servers.append(servers)
-
-    def take_parts(self) -> t.Iterator[dict[str, t.Any]]:
-        """Yield the contents of the updates to send, and empty the outbox."""
-        nodes = list(self._nodes.values())
-        suspected = list(self._suspected.items())
-        departures = list(self._departures.values())
-        servers = self._servers
-        self._nodes = {}
-        self._suspected = {}
-        self._departures = {}
-        self._servers = []
-        for start in range(0, len(nodes), MAX_NODES_PER_UPDATE):
-            yield {"nodes": nodes[start : start + MAX_NODES_PER_UPDATE]}
-        for start in range(0, len(suspected), MAX_NODES_PER_UPDATE):
-            yield {"suspected": suspected[start : start + MAX_NODES_PER_UPDATE]}
-        for start in range(0, len(departures), MAX_DEPARTURES_PER_UPDATE):
-            yield {"departures": departures[start : start + MAX_DEPARTURES_PER_UPDATE]}
-        for notice in servers:
-            yield {"servers": notice}
--- a/src/jasmineseam/membership/nodes.py
+++ b/src/jasmineseam/membership/nodes.py
@@ -19,6 +19,9 @@
 FAILED_RETENTION_S = 30.0
 # Failed nodes are forgotten after this time; until then, an old state does not bring them back.
 FORGET_AFTER_S = 120.0
+# Versions are Unix times in milliseconds with a few increments, far below this. A state with a
+# higher version is malformed.
+MAX_VERSION = 2**53
 # Nodes are divided into this many groups, whose states are compared between two nodes.
 DIGEST_GROUP_COUNT = 16
 
@@ -37,7 +40,7 @@
     """
 
     vm_id: str
-    version: int
+    version: t.Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
     failure_domain: str
     entry_address: str
     notice_address: str
@@ -103,7 +106,7 @@
 
     def refute(self, version: int) -> bool:
         """Raise the own version above one that others suspect or hold; return if it changed."""
-        if version < self.own.version:
+        if version < self.own.version or version >= MAX_VERSION:
             return False
         return self.update_own(version=version + 1)
 
--- /dev/null
+++ b/src/jasmineseam/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node: the program that runs entry, agent and locator in one process."""
--- /dev/null
+++ b/src/jasmineseam/node/attempts.py
@@ -0,0 +1,257 @@
+"""Attempts to run a request: placement, retries and hedging within a shared retry budget."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import typing as t
+
+from ..exceptions import AttemptError
+from ..exceptions import AttemptNotRunError
+from ..exceptions import AttemptOutcomeUnknownError
+from ..exceptions import NotRunError
+from ..exceptions import UnknownOutcomeError
+from ..membership.registry import ServerRegistry
+from ..operations.node_settings import RetryBudgetSettings
+from ..requests.protocol import HeaderCodec
+from ..requests.protocol import ResponseHead
+from ..requests.protocol import ServerResponse
+from ..routing.attempt_race import race_attempts
+from ..routing.dispatch import Dispatcher
+from ..routing.dispatch import PlacementRequest
+from ..routing.load import ServerLoad
+from ..routing.window_retry_budget import SlidingWindowRetryBudget
+from ..transport.connection_pool import ConnectionPool
+from .dispatchers import Dispatchers
+from .proxied_request import ProxiedRequest
+from .server_client import MIN_SERVER_ERROR_STATUS
+from .server_client import ServerClient
+
+MAX_CONNECT_FAILURES_PER_REQUEST = 5
+# Hedges leave this fraction of the retry budget to retries.
+HEDGE_RESERVED_BUDGET_FRACTION = 0.25
+# Interval at which a running attempt is checked for hedging.
+HEDGE_CHECK_INTERVAL_S = 0.02
+# A hedge is started if the server of the first attempt reports at least this slowness: the current
+# service time on its host as a multiple of the normal one.
+HEDGE_MIN_SLOWNESS = 1.8
+# A hedge is also started if the first attempt takes longer than this multiple of the expected
+# service time.
+HEDGE_OVERDUE_FACTOR = 1.6
+# With less than this fraction of the expected service time left before the deadline, another
+# attempt could not finish in time.
+MIN_ATTEMPT_TIME_FRACTION = 0.5
+# The latency target is at least this multiple of the expected service time, and at least
+# MIN_LATENCY_TARGET_S.
+MIN_LATENCY_TARGET_SERVICE_TIME_FACTOR = 1.5
+MIN_LATENCY_TARGET_S = 0.15
+
+
+class AttemptRunner:
+    """Runs requests on servers.
+
+    :param header_codec: encodes request headers and decodes response headers.
+    :param registry: the registered servers.
+    :param dispatchers: choose the server of each attempt.
+    :param retry_limits: the limits on retries and hedges of each service, summed over all nodes.
+    :param record_server_state: called with the load state of a server and the head of its
+        response.
+    """
+
+    def __init__(
+        self,
+        *,
+        header_codec: HeaderCodec,
+        registry: ServerRegistry,
+        dispatchers: Dispatchers,
+        retry_limits: RetryBudgetSettings,
+        record_server_state: t.Callable[[ServerLoad, ResponseHead], None],
+    ) -> None:
+        self._dispatchers = dispatchers
+        self._retry_limits = retry_limits
+        self._retry_budgets: dict[str, SlidingWindowRetryBudget] = {}
+        self._server_client = ServerClient(
+            header_codec=header_codec,
+            registry=registry,
+            record_report=dispatchers.record_report,
+            record_server_state=record_server_state,
+        )
+        # Obtains fresh load reports before a request is placed.
+        self.refresh_loads: t.Callable[[Dispatcher, PlacementRequest], t.Awaitable[None]] = (
+            _keep_loads
+        )
+
+    @property
+    def connections(self) -> ConnectionPool:
+        """The pool of connections to servers."""
+        return self._server_client.connections
+
+    def set_retry_limits(self, retry_limits: RetryBudgetSettings) -> None:
+        """Change the retry limits; attempts counted in the current window are kept."""
+        self._retry_limits = retry_limits
+        for budget in self._retry_budgets.values():
+            budget.set_limits(retry_limits.share, retry_limits.allowance)
+
+    async def run(self, proxied: ProxiedRequest, service: str) -> ServerResponse:
+        """Run a request on the servers of a service until its deadline.
+
+        :returns: the response that is forwarded to the caller.
+        :raises NotRunError: if no attempt was or may have been run.
+        :raises UnknownOutcomeError: if a server may have run the request, but there is no response
+            that may be forwarded to the caller.
+        """
+        proxied.dispatcher = self._dispatchers.get(service)
+        proxied.service_time_s = proxied.dispatcher.get_service_time_s(proxied.route.name)
+        budget = self._get_retry_budget(service)
+        budget.record_request()
+        try:
+            async with asyncio.timeout_at(proxied.deadline_at):
+                return await self._run_attempts(proxied, budget)
+        except TimeoutError as error:
+            if proxied.sent:
+                raise UnknownOutcomeError("timeout", 504) from error
+            retry_after_s = proxied.dispatcher.estimate_retry_after_s()
+            raise NotRunError("timeout-in-queue", 503, retry_after_s) from error
+
+    async def _run_attempts(
+        self, proxied: ProxiedRequest, budget: SlidingWindowRetryBudget
+    ) -> ServerResponse:
+        """Send attempts until one succeeds or no further attempt is allowed.
+
+        :returns: the first response that is successful or must not be retried; otherwise the error
+            response of the last attempt that was or may have been run.
+        :raises NotRunError: if no attempt was or may have been run.
+        :raises UnknownOutcomeError: if the last attempt that may have been run has no response
+            that may be forwarded to the caller.
+        """
+        route = proxied.route
+        connect_failures = 0
+        last_result: ServerResponse | AttemptError | None = None
+        while (
+            proxied.attempt_count < route.max_attempts
+            and connect_failures < MAX_CONNECT_FAILURES_PER_REQUEST
+        ):
+            if proxied.attempt_count > 0 and not (
+                self._has_time_for_attempt(proxied) and budget.take_attempt()
+            ):
+                break
+            try:
+                placement_request = self._build_placement_request(proxied)
+                await self.refresh_loads(proxied.dispatcher, placement_request)
+                load = await proxied.dispatcher.place(placement_request)
+            except NotRunError as error:
+                if last_result is None:
+                    raise
+                proxied.attempt_trace.append(error.reason)
+                break
+            try:
+                response = await self._send_hedged_attempt(proxied, load, budget)
+            except AttemptNotRunError as error:
+                # An earlier attempt that was or may have been run determines the outcome.
+                last_result = (
+                    last_result
+                    if isinstance(last_result, AttemptOutcomeUnknownError | ServerResponse)
+                    else error
+                )
+                connect_failures += error.reason == "connect"
+                continue
+            except AttemptOutcomeUnknownError as error:
+                last_result = error
+                if not route.idempotent:
+                    break
+                continue
+            if response.status < MIN_SERVER_ERROR_STATUS or not route.idempotent:
+                return response
+            last_result = response
+        return self._return_or_raise_last_result(proxied, last_result)
+
+    def _has_time_for_attempt(self, proxied: ProxiedRequest) -> bool:
+        """Return whether another attempt could finish before the deadline."""
+        return (
+            proxied.deadline_at - time.monotonic()
+            > MIN_ATTEMPT_TIME_FRACTION * proxied.service_time_s
+        )
+
+    def _return_or_raise_last_result(
+        self, proxied: ProxiedRequest, last_result: ServerResponse | AttemptError | None
+    ) -> ServerResponse:
+        if isinstance(last_result, ServerResponse):
+            return last_result
+        if isinstance(last_result, AttemptOutcomeUnknownError):
+            raise UnknownOutcomeError(last_result.reason, 502)
+        reason = "no-server" if last_result is None else last_result.reason
+        raise NotRunError(reason, 503, proxied.dispatcher.estimate_retry_after_s())
+
+    def _build_placement_request(self, proxied: ProxiedRequest) -> PlacementRequest:
+        # Even an idle server cannot meet a latency target below these lower bounds. Without them,
+        # the dispatcher would treat the request as late on arrival and could reject it.
+        min_target_s = (
+            max(
+                MIN_LATENCY_TARGET_S,
+                MIN_LATENCY_TARGET_SERVICE_TIME_FACTOR * proxied.service_time_s,
+            )
+            - proxied.elapsed_before_arrival_s
+        )
+        return PlacementRequest(
+            priority=proxied.route.priority,
+            service_time_s=proxied.service_time_s,
+            target_at=max(proxied.target_at, proxied.arrived_at + min_target_s),
+            deadline_at=proxied.deadline_at,
+            excluded_server_ids=proxied.excluded_server_ids,
+        )
+
+    async def _send_hedged_attempt(
+        self, proxied: ProxiedRequest, load: ServerLoad, budget: SlidingWindowRetryBudget
+    ) -> ServerResponse:
+        first_attempt = self._server_client.send_attempt(proxied, load)
+        route = proxied.route
+        if not route.idempotent or proxied.attempt_count + 1 >= route.max_attempts:
+            return await first_attempt
+        dispatcher = proxied.dispatcher
+        started_at = time.monotonic()
+
+        def start_hedge() -> t.Coroutine | None:
+            now = time.monotonic()
+            overdue = now - started_at > HEDGE_OVERDUE_FACTOR * proxied.service_time_s
+            if not overdue and load.get_fresh_slowness(now) < HEDGE_MIN_SLOWNESS:
+                return None
+            return send_probed_hedge()
+
+        async def send_probed_hedge() -> ServerResponse:
+            await self.refresh_loads(dispatcher, self._build_placement_request(proxied))
+            time_to_target_s = proxied.target_at - time.monotonic()
+            hedge_server = dispatcher.choose_hedge_server(
+                proxied.excluded_server_ids, proxied.service_time_s, time_to_target_s
+            )
+            if hedge_server is None or not budget.take_attempt(HEDGE_RESERVED_BUDGET_FRACTION):
+                raise AttemptNotRunError("no-hedge")
+            return await self._server_client.send_attempt(proxied, hedge_server)
+
+        return await race_attempts(
+            first_attempt,
+            delay_s=HEDGE_CHECK_INTERVAL_S,
+            start_hedge=start_hedge,
+            is_success=_is_success,
+            recheck_interval_s=HEDGE_CHECK_INTERVAL_S,
+        )
+
+    def _get_retry_budget(self, service: str) -> SlidingWindowRetryBudget:
+        budget = self._retry_budgets.get(service)
+        if budget is None:
+            budget = SlidingWindowRetryBudget(
+                share=self._retry_limits.share,
+                allowance=self._retry_limits.allowance,
+                window_s=self._retry_limits.window_s,
+                clock=time.monotonic,
+            )
+            self._retry_budgets[service] = budget
+        budget.node_count = self._dispatchers.node_count
+        return budget
+
+
+async def _keep_loads(dispatcher: Dispatcher, request: PlacementRequest) -> None:
+    """Leave the load reports as they are."""
+
+
+def _is_success(response: ServerResponse) -> bool:
+    return response.status < MIN_SERVER_ERROR_STATUS
--- a/src/jasmineseam/programs/node.py
+++ b/src/jasmineseam/node/daemon.py
@@ -8,16 +8,21 @@
 
 import asyncio
 import collections
-import contextlib
 import random
 import time
 import typing as t
 
 import msgspec
-from aiohttp import web
 
 from ..exceptions import InvariantError
 from ..exceptions import SettingsError
+from ..fleet.spreading import Fleet
+from ..fleet.spreading import FleetHandlers
+from ..fleet.state_sync import StateSynchronizer
+from ..fleet.store_protocol import MetadataStoreProtocol
+from ..fleet.store_protocol import NodeRecord
+from ..fleet.store_watcher import MAX_CHANGES_PER_NOTICE
+from ..fleet.store_watcher import StoreWatcher
 from ..membership.nodes import NodeInfo
 from ..membership.registry import Departure
 from ..membership.registry import ServerRegistry
@@ -34,29 +39,14 @@
 from ..peers.messages import StateRequest
 from ..requests.protocol import HeaderCodec
 from ..routing.routes import RoutingTable
-from ..transport.caller_connections import CallerServer
-from .fleet import Fleet
-from .fleet import FleetHandlers
+from .endpoints import EndpointConfig
+from .endpoints import NodeEndpoints
 from .gateway import Gateway
+from .listeners import HttpListeners
 from .load_prober import LoadProber
-from .node_endpoints import EndpointConfig
-from .node_endpoints import NodeEndpoints
-from .node_metrics import add_node_metrics
-from .state_sync import StateSynchronizer
-from .store_watcher import MAX_CHANGES_PER_NOTICE
-from .store_watcher import MetadataStoreProtocol
-from .store_watcher import NodeRecord
-from .store_watcher import StoreWatcher
+from .metrics import add_node_metrics
 
 MAINTENANCE_INTERVAL_S = 0.5
-MAX_HEADER_LINE_BYTES = 65_536
-HTTP_SERVER_OPTIONS = {
-    "max_line_size": MAX_HEADER_LINE_BYTES,
-    "max_field_size": MAX_HEADER_LINE_BYTES,
-    "access_log": None,
-    "auto_decompress": False,
-}
-LISTEN_BACKLOG = 1024
 DRAIN_POLL_INTERVAL_S = 0.02
 TASK_RESTART_DELAY_S = 0.5
 # After the stop signal, new connections of callers are accepted until this fraction of the grace
@@ -111,8 +101,7 @@
         self._leaving = False
         # restarts of background tasks after unexpected errors, by name of the task
         self.task_restarts: collections.Counter[str] = collections.Counter()
-        self._runners: list[web.ServerRunner] = []
-        self._caller_server: CallerServer | None = None
+        self._listeners: HttpListeners | None = None
         self.registry = ServerRegistry(clock=time.monotonic, on_change=self._handle_server_change)
         self.request_log = RequestLog(write=output.write, lines_per_s=options.log_lines_per_s)
         self.gateway = Gateway(
@@ -184,7 +173,7 @@
             options=self.options.probes,
             max_probes_per_s=self.settings.probes_per_s,
         )
-        self.gateway.refresh_loads = self.prober.refresh_loads
+        self.gateway.attempts.refresh_loads = self.prober.refresh_loads
         self._apply_node_count()
         for run_forever in (
             self.store_watcher.watch_routing_table,
@@ -195,8 +184,16 @@
             self._output.flush_periodically,
         ):
             self.add_future(self._run_supervised(run_forever))
-        await self._start_listeners()
-        add_node_metrics(self.meter_provider, self, self._output)
+        self._listeners = self._build_listeners()
+        await self._listeners.start()
+        add_node_metrics(
+            self.meter_provider,
+            gateway=self.gateway,
+            prober=self.prober,
+            registry=self.registry,
+            request_log=self.request_log,
+            output=self._output,
+        )
 
     async def handle_message(self, message: Message) -> Message:
         """Handle a request of another node."""
@@ -219,7 +216,7 @@
         self.settings = msgspec.structs.replace(
             settings, vm=current.vm, listeners=current.listeners
         )
-        self.gateway.set_retry_limits(settings.retries)
+        self.gateway.attempts.set_retry_limits(settings.retries)
         self.prober.max_probes_per_s = settings.probes_per_s
         for address in settings.seed_peers:
             self.fleet.add_contact(address)
@@ -240,12 +237,11 @@
         self.gateway.draining = True
         self._publish_own_state(urgent=True)
         await asyncio.sleep(LISTENING_GRACE_FRACTION * grace_s)
-        # The first runner is that of the listener for callers' requests.
-        for site in list(self._runners[0].sites):
-            await site.stop()
+        await self._listeners.stop_accepting_callers()
+        caller_server = self._listeners.caller_server
         while time.monotonic() < started_at + DRAINING_GRACE_FRACTION * grace_s:
-            self._caller_server.close_idle_connections()
-            if self.gateway.in_flight == 0 and not self._caller_server.connections:
+            caller_server.close_idle_connections()
+            if self.gateway.in_flight == 0 and not caller_server.connections:
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         self.logger.info(
@@ -259,10 +255,8 @@
         self.fleet.close()
         self.state_sync.close()
         self.datagrams.close()
-        for runner in self._runners:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(0.1):
-                    await runner.cleanup()
+        if self._listeners is not None:
+            await self._listeners.close()
         self.gateway.connections.close()
         await self._close_store()
         await super().on_stop()
@@ -384,39 +378,22 @@
             self.gateway.dispatchers.expire_borrowed()
             addresses = {listing.server.address for listing in self.registry.list_listings()}
             self.gateway.connections.expire_connections(addresses)
-            limits = self.gateway.caller_limits
-            self._caller_server.close_idle_connections(limits.idle_timeout_s)
-            self._caller_server.time_out_slow_heads(limits.header_timeout_s)
+            self._listeners.enforce_limits(self.gateway.caller_limits)
 
-    async def _start_listeners(self) -> None:
-        listeners = self.settings.listeners
+    def _build_listeners(self) -> HttpListeners:
         endpoints = NodeEndpoints(
             config=self._endpoint_config,
             is_ready=lambda: self.ready,
             list_live_nodes=self.fleet.membership.list_live,
             get_entries_ttl_s=self._get_entries_ttl_s,
         )
-        self._caller_server = CallerServer(self.gateway.handle_request, **HTTP_SERVER_OPTIONS)
-        await self._start_listener(self._caller_server, listeners.entry)
-        await self._start_listener(
-            self._build_http_server(endpoints.handle_readiness), listeners.readiness
+        port = self.options.metrics_port
+        return HttpListeners(
+            addresses=self.settings.listeners,
+            metrics_address=f"{self.settings.vm.address}:{port}" if port else "",
+            handle_request=self.gateway.handle_request,
+            endpoints=endpoints,
         )
-        await self._start_listener(
-            self._build_http_server(endpoints.handle_locator), listeners.locator
-        )
-        if self.options.metrics_port:
-            address = f"{self.settings.vm.address}:{self.options.metrics_port}"
-            await self._start_listener(self._build_http_server(endpoints.handle_metrics), address)
 
     def _get_entries_ttl_s(self) -> float:
         return min(self.options.lifetime_s, self.settings.longest_lifetime_s)
-
-    def _build_http_server(self, handler: t.Callable) -> web.Server:
-        return web.Server(handler, handler_cancellation=True, **HTTP_SERVER_OPTIONS)
-
-    async def _start_listener(self, server: web.Server, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        runner = web.ServerRunner(server, access_log=None)
-        await runner.setup()
-        await web.TCPSite(runner, host, int(port), backlog=LISTEN_BACKLOG).start()
-        self._runners.append(runner)
--- a/src/jasmineseam/programs/node_metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -2,54 +2,60 @@
 
 from __future__ import annotations
 
-import typing as t
-
 from opentelemetry.sdk.metrics import MeterProvider
 
+from ..membership.registry import ServerRegistry
 from ..operations.metrics import add_counter
 from ..operations.metrics import add_gauge
 from ..operations.metrics import add_histogram
 from ..operations.output import LineOutput
-
-if t.TYPE_CHECKING:
-    from .node import Node
+from ..operations.request_log import RequestLog
+from .gateway import Gateway
+from .load_prober import LoadProber
 
 REQUEST_DURATION_BUCKET_BOUNDS_S = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
 
 
-def add_node_metrics(provider: MeterProvider, node: Node, output: LineOutput) -> None:
+def add_node_metrics(
+    provider: MeterProvider,
+    *,
+    gateway: Gateway,
+    prober: LoadProber,
+    registry: ServerRegistry,
+    request_log: RequestLog,
+    output: LineOutput,
+) -> None:
     """Register the counters, gauges and the duration histogram of a node.
 
     :param provider: the meter provider that exports the metrics.
-    :param node: the node whose state is read.
     :param output: the log output, for its count of dropped lines.
     """
 
     def read_outcomes():
-        return [(count, {"outcome": name}) for name, count in node.gateway.outcome_counts.items()]
+        return [(count, {"outcome": name}) for name, count in gateway.outcome_counts.items()]
 
     def read_probes():
         return [
-            (node.prober.sent_count, {"result": "sent"}),
-            (node.prober.failed_count, {"result": "failed"}),
+            (prober.sent_count, {"result": "sent"}),
+            (prober.failed_count, {"result": "failed"}),
         ]
 
     def read_dropped_lines():
-        return [(node.request_log.dropped_lines + output.dropped_lines, {})]
+        return [(request_log.dropped_lines + output.dropped_lines, {})]
 
     def read_in_flight():
-        return [(node.gateway.in_flight, {})]
+        return [(gateway.in_flight, {})]
 
     def read_queued():
-        return [(node.gateway.count_queued(), {})]
+        return [(gateway.count_queued(), {})]
 
     def read_opened_connections():
-        return [(node.gateway.connections.opened_count, {})]
+        return [(gateway.connections.opened_count, {})]
 
     def read_server_list_age():
-        return [(node.registry.get_list_age_s(), {})]
+        return [(registry.get_list_age_s(), {})]
 
-    node.gateway.record_duration = add_histogram(
+    gateway.record_duration = add_histogram(
         provider, "request.duration", "s", "Time to the answer.", REQUEST_DURATION_BUCKET_BOUNDS_S
     )
     add_counter(provider, "requests", "1", "Requests, by outcome.", read_outcomes)
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -220,7 +220,7 @@
     nodes_hash: int
     table_version: int
     servers_position: StorePosition
-    servers_age_ms: int
+    servers_age_ms: t.Annotated[int, msgspec.Meta(ge=-1, le=2**31)]
     leaving_hash: int = 0
 
 
@@ -329,7 +329,7 @@
     servers: ServersNotice | None = None
     listings: list[ServerListing] | None = None
     servers_position: StorePosition = UNKNOWN_POSITION
-    servers_age_s: float = float("inf")
+    servers_age_s: t.Annotated[float, msgspec.Meta(ge=0.0)] = float("inf")
     departures: list[Departure] = []
 
 
--- a/src/jasmineseam/platform/metadata_store.py
+++ b/src/jasmineseam/platform/metadata_store.py
@@ -6,11 +6,11 @@
 import msgspec
 
 from ..exceptions import InvalidRecordError
+from ..fleet.store_protocol import NodeRecord
+from ..fleet.store_protocol import RoutingTableRead
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerListing
 from ..membership.store_position import StorePosition
-from ..programs.store_watcher import NodeRecord
-from ..programs.store_watcher import RoutingTableRead
 from .records import CONFIGURATION_KEY
 from .records import CONFIGURATION_TOPIC
 from .records import NODES_TOPIC
--- a/src/jasmineseam/platform/program.py
+++ b/src/jasmineseam/platform/program.py
@@ -8,6 +8,8 @@
 import typing as t
 
 from ..exceptions import SettingsError
+from ..node.daemon import Node
+from ..node.endpoints import EndpointConfig
 from ..operations.daemon import EXIT_USAGE
 from ..operations.daemon import run_cli
 from ..operations.daemon import run_process
@@ -16,8 +18,6 @@
 from ..operations.node_settings import NodeSettings
 from ..operations.node_settings import load_options
 from ..operations.output import LineOutput
-from ..programs.node import Node
-from ..programs.node_endpoints import EndpointConfig
 from .endpoints import LOCATOR_PATH
 from .endpoints import READINESS_PATH
 from .endpoints import encode_entry_addresses
--- a/src/jasmineseam/programs/entry_proxy.py
+++ b/src/jasmineseam/programs/entry_proxy.py
@@ -31,15 +31,15 @@
 from ..requests.outcome import Outcome
 from ..requests.outcome import build_not_run_response
 from ..requests.outcome import build_unknown_outcome_response
+from ..routing.attempt_race import race_attempts
 from ..routing.pool import ServerPool
 from ..routing.server_selection import ServerSelector
+from ..transport.request_body import read_body
 from .agent_replica import AgentReplica
 from .attempt_sender import SERVER_ERROR_STATUSES
 from .attempt_sender import AttemptSender
 from .attempt_sender import StreamingResponse
-from .hedge import race_attempts
 from .keyed_requests import KeyedRequests
-from .request_body import read_body
 
 MAX_ATTEMPTS_PER_REQUEST = 4
 MAX_KEYED_RESPONSE_BYTES = 16 * 1024 * 1024
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -27,6 +27,7 @@
     :param work_s: processing time of a request, in seconds.
     :param slowness_pct: processing time in percent of the usual time.
     :param error_status: status of all responses, 0 for success.
+    :param raw_response: bytes that are sent in place of a response to a request, empty for none.
     :param leaving: whether all responses report that the instance is leaving.
     :param retry_after_s: a request is rejected with this Retry-After time in seconds, unless it
         is 0.
@@ -60,6 +61,7 @@
     fault_count: int = -1
     silent_when_full: bool = False
     healthy: bool = True
+    raw_response: bytes = b""
     leaving: bool = False
     retry_after_s: float = 0.0
     endless_pause_s: float = 0.0
@@ -259,6 +261,9 @@
         if fault.startswith("endless-"):
             await self._send_without_end(writer, fault, request_id)
             return False
+        if behaviour.raw_response:
+            writer.write(behaviour.raw_response)
+            return True
         if fault == "garbage":
             writer.write(b"\x00\x01 no answer at all\r\n\r\n")
             return True
--- a/tests/test_endless_data.py
+++ b/tests/test_endless_data.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from jasmineseam.programs import server_client
+from jasmineseam.node import server_client
 from standins.instance import InstanceBehaviour
 from tests.deployment import run_scenario
 from tests.deployment import wait_until
--- a/tests/test_hedge.py
+++ b/tests/test_hedge.py
@@ -5,7 +5,7 @@
 import pytest
 
 from jasmineseam.exceptions import AttemptOutcomeUnknownError
-from jasmineseam.programs.hedge import race_attempts
+from jasmineseam.routing.attempt_race import race_attempts
 
 
 class Attempt:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -539,7 +539,7 @@
         await asyncio.gather(*opener_tasks)
         assert opened
         # The process ends at this point, which would cut any open connection.
-        assert not node._caller_server.connections
+        assert not node._listeners.caller_server.connections
         for reader, writer in opened:
             async with asyncio.timeout(5.0):
                 assert await reader.read() == b""
@@ -588,7 +588,7 @@
     async def scenario(deployment):
         node = await start_node(deployment)
         reader, writer = await connect_to(node)
-        server = node._caller_server
+        server = node._listeners.caller_server
         await wait_until(lambda: server.connections, "the connection is accepted")
         (connection,) = server.connections
         connection.idle_since -= 10.0
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -6,15 +6,15 @@
 
 import pytest
 
+from jasmineseam.fleet import store_watcher
+from jasmineseam.fleet.state_sync import ServerChangeLog
+from jasmineseam.fleet.store_protocol import NodeRecord
+from jasmineseam.fleet.store_watcher import StoreWatcher
 from jasmineseam.membership.registry import ServerChange
 from jasmineseam.membership.registry import ServerListing
 from jasmineseam.membership.registry import ServerRegistry
 from jasmineseam.membership.servers import Server
 from jasmineseam.membership.store_position import StorePosition
-from jasmineseam.programs import store_watcher
-from jasmineseam.programs.state_sync import ServerChangeLog
-from jasmineseam.programs.store_watcher import NodeRecord
-from jasmineseam.programs.store_watcher import StoreWatcher
 from standins.configuration import build_route
 from tests.deployment import run_scenario
 from tests.deployment import wait_until
