Hand the reading of the store over at the first failed read

Now one failed read hands over, a read times out after 0.7 s (1.5 s after one that timed out, since the store may be slow), and a node whose list is not confirmed reads after 1 s plus 0.25 s for each doubling of the fleet, not after 3 s.

--- a/src/jasmineseam/fleet/store_watcher.py
+++ b/src/jasmineseam/fleet/store_watcher.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 import typing as t
 
@@ -40,10 +41,14 @@
 # A failing store may leave a long poll unanswered, so a reader also reads the newest table within
 # the sum of this interval and READ_INTERVAL_S.
 ROUTING_TABLE_CHECK_INTERVAL_S = 0.9
-# Other nodes read the server list if theirs is older than this, plus a delay by their rank.
-MAX_SERVER_LIST_AGE_S = 3.0
-READ_DELAY_PER_RANK_S = 0.2
+# Other nodes read the server list if theirs is older than this, plus a time for each doubling of
+# the number of nodes, in which confirmations reach all of them, and a delay by their rank.
+MAX_SERVER_LIST_AGE_S = 1.0
+SPREAD_TIME_PER_DOUBLING_S = 0.25
+READ_DELAY_PER_RANK_S = 0.1
 MAX_RANK_DELAY_S = 6.0
+# After a longer pause, a reader reads the whole list instead of all records since then.
+MAX_READ_GAP_S = 3.0
 # A node without a list reads the store if no other node has provided one within this time.
 FIRST_READ_DELAY_S = 2.0
 MAX_WAIT_S = 0.5
@@ -53,8 +58,8 @@
 CONTACT_COUNT = 4
 NODE_LIST_READ_INTERVAL_S = 10.0
 NODE_LIST_READ_INTERVAL_WITHOUT_PEERS_S = 1.0
-# A node whose calls have failed for this time leaves the reading to others, for a while.
-MAX_FAILING_S = 0.4
+# A node whose read fails leaves the reading to others for this time. The store may turn away just
+# some nodes.
 FAILED_READER_PAUSE_S = 10.0
 _logger = logbook.Logger("store")
 
@@ -70,6 +75,7 @@
         parts with their positions.
     :param get_rank: returns the rank of this node among those that may read the store, 0 for the
         first; ``None`` while this node is still joining the others.
+    :param get_node_count: returns the number of nodes.
     :param set_reachable: called with whether this node can reach the store.
     :param add_contact: called with the address of each node in the store.
     :param own_record: the record of this node.
@@ -83,6 +89,7 @@
         on_routing_table: t.Callable[[RoutingTable, str], bool],
         on_server_changes: t.Callable[[list[ServersNotice]], None],
         get_rank: t.Callable[[], int | None],
+        get_node_count: t.Callable[[], int],
         set_reachable: t.Callable[[bool], None],
         add_contact: t.Callable[[str], None],
         own_record: NodeRecord,
@@ -92,6 +99,7 @@
         self._on_routing_table = on_routing_table
         self._on_server_changes = on_server_changes
         self._get_rank = get_rank
+        self._get_node_count = get_node_count
         self._set_reachable = set_reachable
         self._add_contact = add_contact
         self._own_record = own_record
@@ -102,7 +110,6 @@
         self._cursor: StorePosition | None = None
         # departures of servers whose grace period is over, for the next changes to be published
         self._expired: list[Departure] = []
-        self._failing_since = float("inf")
         self._unreachable_until = float("-inf")
         # latest timeline of the store that this node has seen
         self._timeline = -1
@@ -185,10 +192,10 @@
                 )
             except PlatformError as error:
                 self._log_failure("servers", error, backoff)
-                self._record_failed_read()
+                self._unreachable_until = time.monotonic() + FAILED_READER_PAUSE_S
+                self._set_reachable(False)
                 await asyncio.sleep(backoff.record_failure())
                 continue
-            self._failing_since = float("inf")
             self._log_recovery("servers", backoff)
 
     async def watch_nodes(self, has_peers: t.Callable[[], bool]) -> None:
@@ -245,14 +252,10 @@
         if not self._registry.loaded:
             due_at = self._started_at + FIRST_READ_DELAY_S + rank_delay_s
             return max(due_at, self._servers_read_at + READ_INTERVAL_S) - now
-        return MAX_SERVER_LIST_AGE_S + rank_delay_s - self._registry.get_list_age_s()
-
-    def _record_failed_read(self) -> None:
-        now = time.monotonic()
-        self._failing_since = min(self._failing_since, now)
-        if now - self._failing_since >= MAX_FAILING_S:
-            self._unreachable_until = now + FAILED_READER_PAUSE_S
-            self._set_reachable(False)
+        age_limit_s = MAX_SERVER_LIST_AGE_S + SPREAD_TIME_PER_DOUBLING_S * math.log2(
+            max(1, self._get_node_count())
+        )
+        return age_limit_s + rank_delay_s - self._registry.get_list_age_s()
 
     def _record_timeline(self, timeline: int) -> None:
         if timeline <= self._timeline:
@@ -273,7 +276,7 @@
         if cursor is not None and cursor < known:
             cursor = known
         # After a pause, all records since then are more than the whole list.
-        recent = started_at - self._servers_read_at < MAX_SERVER_LIST_AGE_S
+        recent = started_at - self._servers_read_at < MAX_READ_GAP_S
         if cursor is None or not recent or cursor.timeline < self._timeline:
             await self._read_all_servers(after_failure=after_failure)
             return
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -161,6 +161,7 @@
             on_routing_table=self._apply_routing_table,
             on_server_changes=self._publish_server_changes,
             get_rank=self.fleet.get_reader_rank,
+            get_node_count=self.fleet.membership.count,
             set_reachable=lambda reachable: self.fleet.update_own(reads_store=reachable),
             add_contact=self.fleet.add_contact,
             own_record=NodeRecord(
--- a/src/jasmineseam/platform/store_client.py
+++ b/src/jasmineseam/platform/store_client.py
@@ -10,6 +10,7 @@
 import binascii
 import socket
 import struct
+import time
 import typing as t
 
 import aiohttp
@@ -20,7 +21,11 @@
 from ..exceptions import StoreUnavailableError
 from ..membership.store_position import StorePosition
 
-STORE_CALL_TIMEOUT_S = 1.5
+CALL_TIMEOUT_S = 0.7
+# timeout after a call that has timed out, since the store may only be slow
+LONG_CALL_TIMEOUT_S = 1.5
+# The short timeout applies again after a call that took no longer than this.
+FAST_CALL_S = 0.35
 MAX_KB_PER_READ = 4096
 TCP_KEEPALIVE_IDLE_S = 1
 TCP_KEEPALIVE_INTERVAL_S = 1
@@ -96,6 +101,7 @@
         self.failed_call_count = 0
         # latest timeline seen; 0 if the store sends no timelines
         self.timeline = 0
+        self._timeout_s = CALL_TIMEOUT_S
 
     async def read_latest(self, topic: str) -> RecordBatch:
         """Return the latest record of each key.
@@ -167,8 +173,9 @@
         data: bytes | None = None,
         wait_s: float = 0.0,
     ) -> _StoreResponse:
-        timeout = aiohttp.ClientTimeout(total=STORE_CALL_TIMEOUT_S + wait_s)
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s + wait_s)
         self.call_count += 1
+        started_at = time.monotonic()
         try:
             async with self._session.request(
                 method, f"{self._url}/{operation}", params=params, data=data, timeout=timeout
@@ -176,7 +183,11 @@
                 body = await _read_body(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self.failed_call_count += 1
+            if isinstance(error, TimeoutError):
+                self._timeout_s = LONG_CALL_TIMEOUT_S
             raise StoreUnavailableError(operation, repr(error)) from error
+        if time.monotonic() - started_at <= FAST_CALL_S:
+            self._timeout_s = CALL_TIMEOUT_S
         timeline = _parse_timeline(response.headers.get(TIMELINE_HEADER), self.timeline)
         if timeline < self.timeline:
             self.failed_call_count += 1
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import random
+import time
 
 import pytest
 
@@ -63,6 +64,7 @@
             on_routing_table=lambda table, source: False,
             on_server_changes=self.notices.extend,
             get_rank=lambda: 0,
+            get_node_count=lambda: 2,
             set_reachable=lambda reachable: None,
             add_contact=lambda address: None,
             own_record=NodeRecord(vm_id="vm", peer_address="127.0.0.1:1"),
@@ -217,6 +219,8 @@
 def test_calls_to_the_store_do_not_grow_with_the_number_of_nodes():
     async def scenario(deployment):
         await start_nodes(deployment, 6)
+        # Nodes that join register and read the lists once.
+        await asyncio.sleep(1.5)
         deployment.store.call_paths.clear()
         await asyncio.sleep(3.0)
         # two readers, each with about two reads of servers and one of the table per second
@@ -256,6 +260,39 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("failure", ["silent", "busy", "reset"])
+def test_changes_are_in_force_in_time_although_the_store_turns_both_readers_away(failure):
+    """The bound is the time in which a change must be in force everywhere, 2 s."""
+
+    async def scenario(deployment):
+        deployment.write_configuration()
+        for name in ("i-1", "i-2"):
+            await deployment.add_instance(name)
+        for number in range(7):
+            address = await deployment.add_store_listener()
+            await deployment.add_node(f"vm-{number}", store_address=address)
+        await wait_until(lambda: len(list_readers(deployment)) == 2, "two nodes read the store")
+        await asyncio.sleep(1.0)
+        readers = list_readers(deployment)
+        deployment.store.behaviour.failing_ports = [
+            int(node.settings.store_address.rpartition(":")[2]) for node in readers
+        ]
+        deployment.store.behaviour.failure = failure
+        deployment.write_instance_record("i-1", state="draining")
+        deployment.write_configuration(version=9)
+        until = time.monotonic() + 2.0
+        for node in deployment.nodes:
+            await wait_until(
+                lambda node=node: (
+                    node.registry.count_usable() == 1 and node.gateway.routing_table.version == 9
+                ),
+                "the changes are in force",
+                until - time.monotonic(),
+            )
+
+    run_scenario(scenario)
+
+
 def test_large_routing_table_reaches_all_nodes():
     async def scenario(deployment):
         nodes = await start_nodes(deployment, 4)
