--- a/src/jasmineseam/fleet/spreading.py
+++ b/src/jasmineseam/fleet/spreading.py
@@ -80,7 +80,7 @@
         self,
         *,
         own: NodeInfo,
-        contacts: t.Iterable[str],
+        contacts: t.Collection[str],
         send: t.Callable[[str, FleetMessage], None],
         handlers: FleetHandlers,
         clock: t.Callable[[], float],
--- a/src/jasmineseam/membership/vms.py
+++ b/src/jasmineseam/membership/vms.py
@@ -39,7 +39,6 @@
     :param seat: number of the VM's seat, to which one share of the probe budget belongs.
     :param ready: whether callers may send requests to its entry processes.
     :param leaving: whether the VM is shutting down.
-    :param notice_address: address for messages without a reply, empty if the VM receives none.
     """
 
     vm_id: str
@@ -50,7 +49,6 @@
     ready: bool = False
     leaving: bool = False
     entries: list[EntryProcess] = []
-    notice_address: str = ""
 
 
 class Succession(msgspec.Struct, kw_only=True, frozen=True):
@@ -109,11 +107,6 @@
             return True
         return _get_compared_state(previous_info) != _get_compared_state(info)
 
-    def refresh_heartbeat(self, vm_id: str) -> None:
-        """Record a heartbeat of a known VM from a message that does not contain its state."""
-        if vm_id in self._infos:
-            self._heartbeat_at[vm_id] = self._clock()
-
     def replace_listed_states(self, listed_states: dict[str, str]) -> None:
         """Replace the platform's list of entry VMs.
 
--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -109,14 +109,6 @@
                 if load.borrowed_until is not None and not _is_borrowed(load, now):
                     del dispatcher.loads[server_id]
 
-    def find_server_load(self, server_id: str) -> tuple[Dispatcher, ServerLoad] | None:
-        """Return the dispatcher and the load state of a server, ``None`` if it is unknown."""
-        for dispatcher in self._by_service.values():
-            load = dispatcher.loads.get(server_id)
-            if load is not None:
-                return dispatcher, load
-        return None
-
     def pause_server(self, load: ServerLoad, until: float) -> None:
         """Send a server no requests and no probes until a time.
 
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -128,7 +128,7 @@
         assert not [at for at in busy.probe_times if rejected_at + 0.5 < at < rejected_at + 1.3]
         busy.behaviour = InstanceBehaviour()
         await wait_until(
-            lambda: node.gateway.dispatchers.find_server_load("i-1") is not None, "i-1 is listed"
+            lambda: "i-1" in node.gateway.dispatchers.get("fit").loads, "i-1 is listed"
         )
         count_before = len(busy.request_headers)
         async with asyncio.timeout(5.0):
@@ -162,7 +162,7 @@
         instance.behaviour = InstanceBehaviour()
         deployment.write_instance_record("i-1", born=2)
         await wait_until(
-            lambda: node.gateway.dispatchers.find_server_load("i-1")[1].started_ms == 2,
+            lambda: node.gateway.dispatchers.get("fit").loads["i-1"].started_ms == 2,
             "the restart is known",
         )
         assert (await deployment.send_request(node, "/safe/1"))[0] == 200
