Decode the limit on requests that servers name; log it and export it

A line says when a server names, moves or withdraws its limit, and the gauge servers.request_limit has its value. Nothing acts on it yet.

Test: test_request_limit_of_a_server_is_logged_when_it_is_named_moved_and_withdrawn (failed before: there was nothing to read).

--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -12,6 +12,7 @@
 from ..exceptions import NotRunError
 from ..exceptions import UnknownOutcomeError
 from ..membership.registry import ServerRegistry
+from ..membership.request_limits import RequestLimits
 from ..operations.node_settings import RetryBudgetSettings
 from ..operations.request_log import OUTCOME_ANSWERED
 from ..operations.request_log import RequestLog
@@ -90,6 +91,7 @@
             record_server_state=self.record_server_state,
         )
         self._on_server_leaving = on_server_leaving
+        self.request_limits = RequestLimits()
         # While set, each response closes its caller connection.
         self.draining = False
         self.in_flight = 0
@@ -122,6 +124,7 @@
             self._on_server_leaving(load.server_id, load.started_ms)
         if head.retry_after_s > 0.0:
             self.dispatchers.pause_server(load, time.monotonic() + head.retry_after_s)
+        self.request_limits.observe(load.server_id, load.started_ms, head.request_limit_per_s)
 
     def apply_routing_table(self, table: RoutingTable) -> bool:
         """Apply a routing table if its version is newer; return whether it was applied."""
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -55,6 +55,12 @@
     def read_server_list_age():
         return [(registry.get_list_age_s(), {})]
 
+    def read_request_limits():
+        return [
+            (requests_per_s, {"server": server_id})
+            for server_id, requests_per_s in gateway.request_limits.list_limits()
+        ]
+
     gateway.record_duration = add_histogram(
         provider, "request.duration", "s", "Time to the answer.", REQUEST_DURATION_BUCKET_BOUNDS_S
     )
@@ -64,4 +70,7 @@
     add_counter(provider, "connections", "1", "Opened to servers.", read_opened_connections)
     add_gauge(provider, "requests.in_flight", "1", "Requests held.", read_in_flight)
     add_gauge(provider, "requests.queued", "1", "Requests that wait.", read_queued)
+    add_gauge(
+        provider, "servers.request_limit", "1/s", "Named by servers in need.", read_request_limits
+    )
     add_gauge(provider, "servers.age", "s", "Age of the list of servers.", read_server_list_age)
--- a/src/jasmineseam/platform/headers.py
+++ b/src/jasmineseam/platform/headers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import re
 import typing as t
 
@@ -21,6 +20,10 @@
 # "1" in all responses of a server that is about to stop
 LEAVING_HEADER = "Server-Leaving"
 RETRY_AFTER_HEADER = "Retry-After"
+# requests per second that the server accepts from all nodes together
+REQUEST_LIMIT_HEADER = "Server-Limit"
+# A higher limit is treated as an error of the server.
+MAX_REQUEST_LIMIT_PER_S = 1e6
 # A longer time is treated as an error of the server.
 MAX_RETRY_AFTER_S = 3600.0
 # comma-separated integers: running requests, waiting requests, slots and, optionally, the
@@ -77,6 +80,7 @@
             if status == UNAVAILABLE_STATUS
             else 0.0
         ),
+        request_limit_per_s=parse_request_limit(headers.get(REQUEST_LIMIT_HEADER)),
     )
 
 
@@ -86,13 +90,25 @@
     >>> parse_retry_after("1.5"), parse_retry_after("Fri, 04 Dec 2026 10:00:00 GMT")
     (1.5, 0.0)
     """
+    retry_after_s = _parse_number(text, MAX_RETRY_AFTER_S)
+    return 0.0 if retry_after_s is None else retry_after_s
+
+
+def parse_request_limit(text: str | None) -> float | None:
+    """Parse a limit in requests per second; return ``None`` if it is missing or malformed.
+
+    >>> parse_request_limit("4.1"), parse_request_limit("-1"), parse_request_limit("few")
+    (4.1, None, None)
+    """
+    return None if text is None else _parse_number(text, MAX_REQUEST_LIMIT_PER_S)
+
+
+def _parse_number(text: str, maximum: float) -> float | None:
     try:
-        retry_after_s = float(text)
+        number = float(text)
     except ValueError:
-        return 0.0
-    if not math.isfinite(retry_after_s) or not 0.0 <= retry_after_s <= MAX_RETRY_AFTER_S:
-        return 0.0
-    return retry_after_s
+        return None
+    return number if 0.0 <= number <= maximum else None
 
 
 def parse_load_report(text: str | None) -> DetailedLoadReport | None:
--- a/src/jasmineseam/requests/protocol.py
+++ b/src/jasmineseam/requests/protocol.py
@@ -34,6 +34,8 @@
     :param leaving: whether the responding server is about to stop.
     :param retry_after_s: time for which the server wants no further requests from this node, in
         seconds.
+    :param request_limit_per_s: requests per second that the server accepts from all nodes
+        together, ``None`` if it names no limit.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     report: DetailedLoadReport | None
     leaving: bool = False
     retry_after_s: float = 0.0
+    request_limit_per_s: float | None = None
 
 
 class HeaderCodec(t.NamedTuple):
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -31,6 +31,8 @@
     :param leaving: whether all responses report that the instance is leaving.
     :param retry_after_s: a request is rejected with this Retry-After time in seconds, unless it
         is 0.
+    :param request_limit_per_s: all responses name this limit on requests from all nodes, unless
+        it is ``None``.
     :param endless_pause_s: pause between two bytes of an ``endless-*`` fault, in seconds; 0 to
         send as fast as possible.
     :param fault: the fault of the responses, empty for none:
@@ -64,6 +66,7 @@
     raw_response: bytes = b""
     leaving: bool = False
     retry_after_s: float = 0.0
+    request_limit_per_s: float | None = None
     endless_pause_s: float = 0.0
 
 
@@ -342,6 +345,8 @@
         lines.append(f"Jasmineseam-Instance-Load: {load}")
         if self.behaviour.leaving:
             lines.append("Server-Leaving: 1")
+        if self.behaviour.request_limit_per_s is not None:
+            lines.append(f"Server-Limit: {self.behaviour.request_limit_per_s:g}")
         if signed:
             lines.append("Jasmineseam-Response-Signature: 1.2.3")
         lines.append(f"Content-Length: {len(body)}")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -272,3 +272,19 @@
 def test_leaving_state_and_retry_time(status, headers, leaving, retry_after_s):
     head = decode_response_headers(status, headers)
     assert (head.leaving, head.retry_after_s) == (leaving, retry_after_s)
+
+
+@pytest.mark.parametrize(
+    ("headers", "requests_per_s"),
+    [
+        ({}, None),
+        ({"Server-Limit": "4.1"}, 4.1),
+        ({"Server-Limit": "0"}, 0.0),
+        ({"Server-Limit": "-1"}, None),
+        ({"Server-Limit": "nan"}, None),
+        ({"Server-Limit": "inf"}, None),
+        ({"Server-Limit": "4,1"}, None),
+    ],
+)
+def test_request_limit_of_a_server(headers, requests_per_s):
+    assert decode_response_headers(200, headers).request_limit_per_s == requests_per_s
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import logbook
 import msgspec
 import pytest
 
@@ -189,3 +190,19 @@
         assert (status, deployment.count_runs("o-1")) == (200, 1)
 
     run_scenario(scenario)
+
+
+def test_request_limit_of_a_server_is_logged_when_it_is_named_moved_and_withdrawn():
+    async def scenario(deployment):
+        (node,) = await start_nodes(deployment, "i-1")
+        for limit in (50.0, 20.0, None):
+            deployment.instances["i-1"].behaviour = InstanceBehaviour(request_limit_per_s=limit)
+            async with asyncio.timeout(5.0):
+                while dict(node.gateway.request_limits.list_limits()).get("i-1") != limit:
+                    await deployment.send_request(node, "/safe/1")
+
+    with logbook.TestHandler() as handler:
+        run_scenario(scenario)
+    messages = [record.message for record in handler.records if record.channel == "limits"]
+    assert [message for message in messages if "i-1" in message] == messages
+    assert len(messages) == 3
