--- /dev/null
+++ b/tests/node_simulation.py
@@ -0,0 +1,652 @@
+"""Simulation of a fleet of real nodes in virtual time, with simulated servers and network.
+
+Each node is the product's :class:`~jasmineseam.node.daemon.Node` without its sockets: requests
+enter through the gateway's handler, datagrams and requests between nodes pass through a simulated
+network, and connections lead to simulated servers. Servers record what they receive, so tests
+check promises from the servers' side.
+"""
+
+import asyncio
+import collections
+import contextlib
+import itertools
+import random
+import time
+from unittest import mock
+
+from multidict import CIMultiDict
+
+from bench.virtual_time import run_in_virtual_time
+from jasmineseam.exceptions import AttemptNotRunError
+from jasmineseam.exceptions import AttemptOutcomeUnknownError
+from jasmineseam.exceptions import PeerReplyLostError
+from jasmineseam.membership.registry import ServerChange
+from jasmineseam.membership.registry import ServerListing
+from jasmineseam.membership.servers import Server
+from jasmineseam.membership.store_position import StorePosition
+from jasmineseam.node.daemon import Node
+from jasmineseam.node.load_prober import LoadProber
+from jasmineseam.operations.node_settings import NodeListeners
+from jasmineseam.operations.node_settings import NodeOptions
+from jasmineseam.operations.node_settings import NodeSettings
+from jasmineseam.operations.node_settings import NodeVm
+from jasmineseam.operations.node_settings import RetryBudgetSettings
+from jasmineseam.operations.output import LineOutput
+from jasmineseam.operations.settings import MetricSettings
+from jasmineseam.peers.messages import ServersNotice
+from jasmineseam.peers.messages import decode_message
+from jasmineseam.peers.messages import encode_message
+from jasmineseam.platform.headers import HEADER_CODEC
+from jasmineseam.platform.program import ENDPOINT_CONFIG
+from jasmineseam.routing.routes import Route
+from jasmineseam.routing.routes import RoutingTable
+from jasmineseam.routing.routes import ServiceInfo
+from jasmineseam.routing.routes import WeightedService
+from jasmineseam.transport.server_connection import IncomingResponse
+
+HOST = "fit.example"
+SERVICE = "fit"
+HEALTH_PATH = "/healthz"
+DOMAINS = ("d1", "d2", "d3")
+CONTACT_COUNT = 3
+MAINTENANCE_INTERVAL_S = 0.5
+# time from a crash of a server to its next start, and to the removal of its old listing
+RESTART_S = 2.0
+LISTING_LAPSE_S = 3.0
+OPTIONS = NodeOptions(metrics=MetricSettings(exporter="none"), fatal_invariants=True)
+
+
+class Arrival:
+    """One request that has reached a server.
+
+    :param told_at: when the sending node had first passed on a response that names the server's
+        limit, ``None`` if it had not.
+    :param path: path of the request.
+    """
+
+    __slots__ = ("at", "node", "path", "told_at")
+
+    def __init__(self, *, at, node, path, told_at):
+        self.at = at
+        self.node = node
+        self.path = path
+        self.told_at = told_at
+
+
+class SimulatedServer:
+    """A server with slots that records its requests, may name a limit and may crash.
+
+    :param name: the server's id in its first start; each later start has a new one.
+    :param work_s: mean processing time of a request, in seconds.
+    """
+
+    def __init__(self, *, name, simulation, domain, work_s, slots=4):
+        self.name = name
+        self.server_id = name
+        self.domain = domain
+        self.slots = slots
+        self.work_s = work_s
+        self.limit_per_s = None
+        # (time, limit) of each change
+        self.limit_changes = []
+        self.arrivals = []
+        self.crash_times = []
+        self.down = False
+        self.running = 0
+        self._starts = 1
+        self._simulation = simulation
+        self._free_slots = asyncio.Semaphore(slots)
+        self._exchanges = set()
+        self._told_at = {}
+
+    @property
+    def address(self):
+        """The address, which stays the same in all starts."""
+        return f"10.9.0.1:{1000 + int(self.name[1:])}"
+
+    def name_limit(self, limit_per_s):
+        """Name a limit in all responses from now on, ``None`` for no limit."""
+        if self.limit_per_s is None:
+            self._told_at.clear()
+        self.limit_per_s = limit_per_s
+        self.limit_changes.append((get_time(), limit_per_s))
+
+    def build_listing(self):
+        """Return the listing of the current start."""
+        server = Server(
+            server_id=self.server_id,
+            service=SERVICE,
+            address=self.address,
+            failure_domain=self.domain,
+            leaving=False,
+        )
+        return ServerListing(server=server, slots=self.slots, started_ms=self._starts, sequence=1)
+
+    def crash(self):
+        """Break all connections, and start again after a while under a new id."""
+        if self.down:
+            return
+        self.down = True
+        self.crash_times.append(get_time())
+        for exchange in list(self._exchanges):
+            if not exchange.done():
+                exchange.set_exception(AttemptOutcomeUnknownError("no-response"))
+        self._simulation.spawn(self._restart())
+
+    async def _restart(self):
+        old_id = self.server_id
+        await asyncio.sleep(RESTART_S)
+        self._starts += 1
+        self.server_id = f"{self.name}.{self._starts}"
+        self._free_slots = asyncio.Semaphore(self.slots)
+        self.running = 0
+        self.down = False
+        self._simulation.publish_servers([ServerChange(self.server_id, self.build_listing())])
+        await asyncio.sleep(LISTING_LAPSE_S - RESTART_S)
+        self._simulation.publish_servers([ServerChange(old_id)])
+
+    def record_arrival(self, node, path):
+        """Record a request that has arrived."""
+        told_at = self._told_at.get(node.start_id)
+        self.arrivals.append(Arrival(at=get_time(), node=node, path=path, told_at=told_at))
+
+    async def run(self, path, headers):
+        """Run a request; return status and headers of the response."""
+        expected_id = headers.get("Jasmineseam-Expect-Instance", self.server_id)
+        if expected_id != self.server_id:
+            return 421, {}
+        exchange = asyncio.get_running_loop().create_future()
+        self._exchanges.add(exchange)
+        work = asyncio.create_task(self._work(path, exchange))
+        try:
+            await exchange
+        finally:
+            self._exchanges.discard(exchange)
+            work.cancel()
+        response_headers = {
+            "Jasmineseam-Request-Id": headers["Jasmineseam-Request-Id"],
+            "Jasmineseam-Response-Signature": "1.2.3",
+        }
+        return 200, response_headers
+
+    async def _work(self, path, exchange):
+        free_slots = self._free_slots
+        async with free_slots:
+            self.running += 1
+            try:
+                work_s = self.work_s * self._simulation.rng.uniform(0.5, 1.5)
+                if self._simulation.crashes_on(path):
+                    await asyncio.sleep(0.5 * work_s)
+                    self.crash()
+                    return
+                await asyncio.sleep(work_s)
+            finally:
+                self.running = max(0, self.running - 1)
+        if not exchange.done():
+            exchange.set_result(None)
+
+    def build_notices(self):
+        """Return the headers that all responses have."""
+        headers = {"Jasmineseam-Instance-Load": f"{self.running},0,{self.slots},100"}
+        if self.limit_per_s is not None:
+            headers["Server-Limit"] = f"{self.limit_per_s:g}"
+        return headers
+
+    def record_told(self, node):
+        """Record that a node passes on a response that names the limit."""
+        if self.limit_per_s is not None:
+            self._told_at.setdefault(node.start_id, get_time())
+
+
+class _Connection:
+    """A connection of one node to one server, for one request."""
+
+    def __init__(self, *, node, server):
+        self._node = node
+        self._server = server
+        self._start_id = server.server_id
+        self._request = None
+
+    async def send(self, method, path, headers, body):
+        if self._server.down or self._server.server_id != self._start_id:
+            raise AttemptNotRunError("closed-before-sending")
+        await self._node.simulation.travel(self._node, self._server)
+        self._request = (path, dict(headers))
+        if path != HEALTH_PATH:
+            self._server.record_arrival(self._node, path)
+
+    async def receive_head(self, decode):
+        path, request_headers = self._request
+        if path == HEALTH_PATH:
+            if self._server.down:
+                raise AttemptOutcomeUnknownError("no-response")
+            status, headers = 200, {"Jasmineseam-Instance-Id": self._server.server_id}
+        else:
+            status, headers = await self._server.run(path, request_headers)
+        headers.update(self._server.build_notices())
+        names_limit = path != HEALTH_PATH and status == 200
+        await self._node.simulation.travel(self._node, self._server)
+        if names_limit:
+            self._server.record_told(self._node)
+        head = decode(status, CIMultiDict(headers))
+        return IncomingResponse(status, head, "", CIMultiDict(headers), None)
+
+    async def read_body(self, response, limit, memory):
+        return b"ok", True
+
+    def close(self):
+        pass
+
+
+class _ConnectionPool:
+    """Opens connections of one node to simulated servers."""
+
+    def __init__(self, node):
+        self._node = node
+        self.opened_count = 0
+
+    async def acquire(self, address, max_idle_s=float("inf")):
+        server = self._node.simulation.servers_by_address[address]
+        await self._node.simulation.travel(self._node, server)
+        if server.down:
+            raise AttemptNotRunError("connect")
+        return _Connection(node=self._node, server=server)
+
+    def release(self, address, connection):
+        pass
+
+    def discard(self, address):
+        pass
+
+    def expire_connections(self, addresses):
+        pass
+
+    def close(self):
+        pass
+
+
+class _Transport:
+    """Sends a node's datagrams through the simulated network."""
+
+    def __init__(self, node):
+        self._node = node
+
+    def sendto(self, data, address):
+        self._node.simulation.send_datagram(self._node, f"{address[0]}:{address[1]}", data)
+
+    def is_closing(self):
+        return False
+
+    def close(self):
+        pass
+
+
+class _PeerClient:
+    """Sends a node's requests to another node through the simulated network."""
+
+    def __init__(self, node, address):
+        self._node = node
+        self._address = address
+
+    async def request(self, message, timeout_s):
+        simulation = self._node.simulation
+        peer = simulation.find_node(self._address)
+        if peer is None or simulation.is_cut(self._node.name, peer.name):
+            await asyncio.sleep(timeout_s)
+            raise PeerReplyLostError(f"{self._address}: no reply")
+        await asyncio.sleep(simulation.delay_s)
+        reply = await peer.node.handle_message(decode_message(encode_message(message)))
+        await asyncio.sleep(simulation.delay_s)
+        return decode_message(encode_message(reply))
+
+
+class _PeerClients:
+    def __init__(self, node):
+        self._node = node
+
+    def get(self, address):
+        return _PeerClient(self._node, address)
+
+    def close_except(self, addresses):
+        pass
+
+    def close(self):
+        pass
+
+
+class _Listeners:
+    def enforce_limits(self, limits):
+        pass
+
+
+class _CallerConnection:
+    def begin_request(self):
+        return True
+
+    def end_request(self):
+        pass
+
+
+class _Request:
+    """What the gateway reads of a caller's request."""
+
+    body_exists = False
+    raw_headers = ()
+
+    def __init__(self, *, path, method, deadline_ms, request_id, remote):
+        self.method = method
+        self.raw_path = path
+        self.remote = remote
+        self.protocol = _CallerConnection()
+        self.headers = CIMultiDict(
+            {
+                "Host": HOST,
+                "Jasmineseam-Request-Id": request_id,
+                "Jasmineseam-Deadline-Ms": str(int(deadline_ms)),
+            }
+        )
+
+
+class SimulatedNode:
+    """A node; ``kill`` and a new object of the same name simulate a restart."""
+
+    _start_ids = itertools.count(1)
+
+    def __init__(self, *, name, simulation):
+        self.name = name
+        self.simulation = simulation
+        self.start_id = next(self._start_ids)
+        number = int(name[1:])
+        host = f"10.0.{number // 250}.{number % 250 + 1}"
+        self.domain = DOMAINS[number % len(DOMAINS)]
+        settings = NodeSettings(
+            vm=NodeVm(id=name, address=host, failure_domain=self.domain),
+            listeners=NodeListeners(
+                entry=f"{host}:1",
+                readiness=f"{host}:2",
+                locator=f"{host}:3",
+                peers=f"{host}:4",
+                notices=f"{host}:5",
+            ),
+            store_address="",
+            seed_peers=[f"10.0.0.{contact + 1}:5" for contact in range(CONTACT_COUNT)],
+            retries=RetryBudgetSettings(share=0.2, allowance=200.0, window_s=10.0),
+            probes_per_s=60.0,
+            grace_s=6.0,
+            longest_lifetime_s=5.0,
+        )
+        node = Node(
+            settings=settings,
+            options=OPTIONS,
+            open_store=lambda: (None, None),
+            header_codec=HEADER_CODEC,
+            endpoint_config=ENDPOINT_CONFIG,
+            output=_NullOutput(),
+        )
+        self.node = node
+        node.datagrams.connection_made(_Transport(self))
+        node.peer_clients = node.state_sync._peer_clients = _PeerClients(self)
+        node.gateway.attempts._server_client.connections = _ConnectionPool(self)
+        node._listeners = _Listeners()
+        node.prober = LoadProber(
+            gateway=node.gateway,
+            header_codec=HEADER_CODEC,
+            options=OPTIONS.probes,
+            max_probes_per_s=settings.probes_per_s,
+        )
+        node.gateway.attempts.refresh_loads = node.prober.refresh_loads
+        self._tasks = [
+            asyncio.create_task(node.fleet.run_forever()),
+            asyncio.create_task(node._run_maintenance_forever()),
+        ]
+
+    def kill(self):
+        """End the node without a message to the others."""
+        self.simulation.nodes.pop(self.name, None)
+        for task in self._tasks:
+            task.cancel()
+        self.node.fleet.close()
+        self.node.state_sync.close()
+
+    async def handle(self, path, *, method, deadline_ms, request_id, remote):
+        """Handle one request of a caller; return status and headers."""
+        request = _Request(
+            path=path,
+            method=method,
+            deadline_ms=deadline_ms,
+            request_id=request_id,
+            remote=remote,
+        )
+        response = await self.node.gateway.handle_request(request)
+        return response.status, response.headers
+
+
+class _NullOutput(LineOutput):
+    def __init__(self):
+        super().__init__(descriptor=2)
+
+    def write(self, line):
+        pass
+
+
+class Simulation:
+    """Servers, nodes, callers and the network between them.
+
+    :param seed: seed of all random numbers.
+    :param loss: fraction of the datagrams between nodes that are lost.
+    """
+
+    def __init__(self, *, node_count, server_count, seed=1, loss=0.0, work_s=0.08):
+        self.rng = random.Random(seed)
+        self.delay_s = 0.001
+        self.loss = loss
+        self.is_cut = lambda sender, receiver: False
+        self.is_cut_from_server = lambda node, server: False
+        # additional delay of datagrams by sender
+        self.node_delays_s = collections.defaultdict(float)
+        self.crashes_on = lambda path: False
+        self.outcomes = []
+        self.nodes = {}
+        self._tasks = set()
+        self._request_ids = itertools.count(1)
+        self.servers = [
+            SimulatedServer(
+                name=f"s{number}",
+                simulation=self,
+                domain=DOMAINS[number % len(DOMAINS)],
+                work_s=work_s,
+            )
+            for number in range(server_count)
+        ]
+        self.servers_by_address = {server.address: server for server in self.servers}
+        self._position = StorePosition(1, 0)
+        self._listings = {server.server_id: server.build_listing() for server in self.servers}
+        for number in range(node_count):
+            self.start_node(f"n{number}")
+
+    def start_node(self, name, *, knows_state=True):
+        """Start a node.
+
+        :param knows_state: whether it has the routing table and the list of servers; otherwise it
+            gets them from other nodes.
+        """
+        simulated = SimulatedNode(name=name, simulation=self)
+        self.nodes[name] = simulated
+        if knows_state:
+            node = simulated.node
+            node._apply_routing_table(_build_table(), "store")
+            node.registry.replace_listings(list(self._listings.values()), self._position)
+            node._publish_own_state()
+        return simulated
+
+    def spawn(self, coroutine):
+        """Run a coroutine until the simulation ends."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def wait_until_joined(self):
+        """Wait until all nodes know each other."""
+        async with asyncio.timeout(30.0):
+            while not all(
+                len(simulated.node.fleet.membership.list_live()) == len(self.nodes)
+                for simulated in self.nodes.values()
+            ):
+                await asyncio.sleep(0.1)
+
+    def publish_servers(self, changes):
+        """Let the node that reads the store spread changes of the list of servers."""
+        begin = self._position
+        self._position = StorePosition(1, begin.offset + 1)
+        for change in changes:
+            if change.listing is None:
+                self._listings.pop(change.server_id, None)
+            else:
+                self._listings[change.server_id] = change.listing
+        if not self.nodes:
+            return
+        reader = next(iter(self.nodes.values())).node
+        notice = ServersNotice(begin=begin, end=self._position, changes=changes)
+        if reader.registry.apply_changes(changes, begin, self._position):
+            reader._publish_server_changes([notice])
+
+    def find_node(self, address):
+        """Return the running node at an address, ``None`` if there is none."""
+        host = address.partition(":")[0]
+        for simulated in self.nodes.values():
+            if simulated.node.settings.vm.address == host:
+                return simulated
+        return None
+
+    def send_datagram(self, sender, address, data):
+        """Deliver a datagram after its delay, unless it is lost or cut off."""
+        receiver = self.find_node(address)
+        if receiver is None or self.is_cut(sender.name, receiver.name):
+            return
+        if self.rng.random() < self.loss:
+            return
+        delay_s = self.delay_s * self.rng.uniform(0.5, 1.5) + self.node_delays_s[sender.name]
+        asyncio.get_running_loop().call_later(delay_s, self._deliver, sender, receiver, data)
+
+    def _deliver(self, sender, receiver, data):
+        if self.nodes.get(receiver.name) is receiver:
+            receiver.node.datagrams.datagram_received(data, (sender.name, 0))
+
+    async def travel(self, node, server):
+        """Take the time of one way between a node and a server."""
+        if self.is_cut_from_server(node.name, server.name):
+            await asyncio.sleep(3600.0)
+        await asyncio.sleep(self.delay_s * self.rng.uniform(0.3, 0.7))
+
+    async def send_request(
+        self, path=None, *, node=None, method="GET", remote="100.64.0.1", deadline_s=1.5
+    ):
+        """Send one request; return its status and headers, 0 if the node was killed."""
+        number = next(self._request_ids)
+        if node is None:
+            node = self.rng.choice(list(self.nodes.values()))
+        try:
+            async with asyncio.timeout(deadline_s):
+                return await node.handle(
+                    path or f"/safe/{number}",
+                    method=method,
+                    deadline_ms=1000 * deadline_s,
+                    request_id=f"q{number}",
+                    remote=remote,
+                )
+        except TimeoutError:
+            return 0, {}
+
+    async def call(self, path=None, *, choose_node=None, attempts=2, deadline_s=1.5):
+        """Send a request as callers do: one that is refused returns after the time given."""
+        started_at = get_time()
+        status = 0
+        for _ in range(attempts):
+            remaining_s = started_at + deadline_s - get_time()
+            node = choose_node() if choose_node is not None else None
+            status, headers = await self.send_request(path, node=node, deadline_s=remaining_s)
+            if status != 503:
+                break
+            remaining_s = started_at + deadline_s - get_time()
+            retry_after_s = float(headers.get("Retry-After", 0.0))
+            await asyncio.sleep(min(retry_after_s, remaining_s / 3))
+        self.outcomes.append((started_at, status, get_time() - started_at))
+
+    async def send_load(self, requests_per_s, duration_s, **options):
+        """Let callers send requests at random times; return when the last has ended."""
+        ends_at = get_time() + duration_s
+        calls = []
+        while get_time() < ends_at:
+            await asyncio.sleep(self.rng.expovariate(requests_per_s))
+            calls.append(self.spawn(self.call(**options)))
+        await asyncio.gather(*calls)
+
+    def compute_served_share(self, since, until=float("inf")):
+        """Return the fraction of the calls begun in a time that were served."""
+        statuses = [status for at, status, _ in self.outcomes if since <= at < until]
+        return sum(status == 200 for status in statuses) / max(1, len(statuses))
+
+    async def close(self):
+        """End all nodes and tasks."""
+        for simulated in list(self.nodes.values()):
+            simulated.kill()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _build_table():
+    services = [ServiceInfo(name=SERVICE, health_path=HEALTH_PATH)]
+    routes = [
+        Route(
+            name=name,
+            host=HOST,
+            path_prefix=f"/{name}/",
+            idempotent=name == "safe",
+            services=[WeightedService(service=SERVICE)],
+            max_attempts=3 if name == "safe" else 2,
+            target_s=0.5,
+            timeout_s=1.5,
+        )
+        for name in ("safe", "order")
+    ]
+    return RoutingTable(version=1, routes=routes, services=services)
+
+
+def get_time():
+    """Return the virtual time in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+@contextlib.contextmanager
+def _patch_time(seed):
+    """Let the product's clocks follow the event loop, and its random numbers the seed."""
+    seeds = random.Random(seed)
+    make_random = random.Random
+
+    def make_seeded_random(*arguments):
+        return make_random(*arguments or (seeds.getrandbits(32),))
+
+    with (
+        mock.patch.object(time, "monotonic", get_time),
+        mock.patch.object(time, "time_ns", lambda: int(1e9 * (1e6 + get_time()))),
+        mock.patch.object(random, "Random", make_seeded_random),
+    ):
+        yield
+
+
+def run_simulation(scenario, *, seed=1, **options):
+    """Run a scenario, a coroutine function, with a simulation whose nodes have joined."""
+
+    async def run():
+        with _patch_time(seed):
+            simulation = Simulation(seed=seed, **options)
+            try:
+                await simulation.wait_until_joined()
+                await scenario(simulation)
+            finally:
+                await simulation.close()
+
+    run_in_virtual_time(run)
