--- a/src/jasmineseam/fleet/outbox.py
+++ b/src/jasmineseam/fleet/outbox.py
@@ -6,23 +6,26 @@
 
 from ..membership.nodes import NodeInfo
 from ..membership.registry import Departure
+from ..membership.request_limits import RequestLimit
 from ..peers.messages import ServersNotice
 
 # Parts of one update, so that it fits into a datagram.
 MAX_NODES_PER_UPDATE = 8
 MAX_DEPARTURES_PER_UPDATE = 15
+MAX_LIMITS_PER_UPDATE = 15
 
 
 class Outbox:
     """News to be sent, which is divided into parts that fit into datagrams."""
 
-    __slots__ = ("_departures", "_nodes", "_servers", "_suspected")
+    __slots__ = ("_departures", "_limits", "_nodes", "_servers", "_suspected")
 
     def __init__(self) -> None:
         self._nodes: dict[str, NodeInfo] = {}
         self._suspected: dict[str, int] = {}
         self._departures: dict[str, Departure] = {}
         self._servers: list[ServersNotice] = []
+        self._limits: dict[str, RequestLimit] = {}
 
     def add(
         self,
@@ -30,11 +33,13 @@
         suspected: t.Iterable[tuple[str, int]],
         departures: t.Iterable[Departure],
         servers: ServersNotice | None,
+        request_limits: t.Iterable[RequestLimit] = (),
     ) -> None:
         """Add news; an older state of the same node is replaced."""
         self._nodes.update((info.vm_id, info) for info in nodes)
         self._suspected.update(suspected)
         self._departures.update((departure.server_id, departure) for departure in departures)
+        self._limits.update((limit.server_id, limit) for limit in request_limits)
         if servers is not None:
             self._servers.append(servers)
 
@@ -44,6 +49,8 @@
         suspected = list(self._suspected.items())
         departures = list(self._departures.values())
         servers = self._servers
+        limits = list(self._limits.values())
+        self._limits = {}
         self._nodes = {}
         self._suspected = {}
         self._departures = {}
@@ -54,5 +61,7 @@
             yield {"suspected": suspected[start : start + MAX_NODES_PER_UPDATE]}
         for start in range(0, len(departures), MAX_DEPARTURES_PER_UPDATE):
             yield {"departures": departures[start : start + MAX_DEPARTURES_PER_UPDATE]}
+        for start in range(0, len(limits), MAX_LIMITS_PER_UPDATE):
+            yield {"request_limits": limits[start : start + MAX_LIMITS_PER_UPDATE]}
         for notice in servers:
             yield {"servers": notice}
--- a/src/jasmineseam/fleet/spreading.py
+++ b/src/jasmineseam/fleet/spreading.py
@@ -22,6 +22,7 @@
 from ..membership.nodes import NodeMembership
 from ..membership.nodes import combine_digests
 from ..membership.registry import Departure
+from ..membership.request_limits import RequestLimit
 from ..peers.messages import Ack
 from ..peers.messages import FleetMessage
 from ..peers.messages import NodesRequest
@@ -54,6 +55,7 @@
     :param get_digest: returns the summary of what this node knows, given the hash over the nodes.
     :param on_digest: called with the state and the summary of another node.
     :param add_departures: called with departures of servers; returns the new ones.
+    :param add_request_limits: called with limits that servers name; returns the new ones.
     :param apply_servers: called with changes of the server list; returns whether they were new.
     :param on_nodes_changed: called when a node's state or status has changed.
     """
@@ -61,6 +63,7 @@
     get_digest: t.Callable[[int], StateDigest]
     on_digest: t.Callable[[NodeInfo, StateDigest], None] = lambda sender, digest: None
     add_departures: t.Callable[[list[Departure]], list[Departure]] = lambda departures: []
+    add_request_limits: t.Callable[[list[RequestLimit]], list[RequestLimit]] = lambda limits: []
     apply_servers: t.Callable[[ServersNotice], bool] = lambda notice: False
     on_nodes_changed: t.Callable[[], None] = lambda: None
 
@@ -145,13 +148,14 @@
         suspected: t.Iterable[tuple[str, int]] = (),
         departures: t.Iterable[Departure] = (),
         servers: ServersNotice | None = None,
+        request_limits: t.Iterable[RequestLimit] = (),
         urgent: bool = False,
     ) -> None:
         """Send news to a few nodes, which forward it.
 
         :param urgent: whether to send at once, and to twice as many nodes.
         """
-        self._outbox.add(nodes, suspected, departures, servers)
+        self._outbox.add(nodes, suspected, departures, servers, request_limits)
         if urgent:
             self._flush(2 * FANOUT)
             return
@@ -228,15 +232,17 @@
         if self.membership.own.version != own_version:
             new_nodes.append(self.membership.own)
         new_departures = self._handlers.add_departures(message.departures)
+        new_limits = self._handlers.add_request_limits(message.request_limits)
         servers = message.servers
         if servers is not None and not self._handlers.apply_servers(servers):
             servers = None
-        if new_nodes or new_suspicions or new_departures or servers is not None:
+        if new_nodes or new_suspicions or new_departures or new_limits or servers is not None:
             self.publish(
                 nodes=new_nodes,
                 suspected=new_suspicions,
                 departures=new_departures,
                 servers=servers,
+                request_limits=new_limits,
             )
 
     def _compare(self, sender: NodeInfo, digest: StateDigest) -> None:
--- a/src/jasmineseam/fleet/state_sync.py
+++ b/src/jasmineseam/fleet/state_sync.py
@@ -20,6 +20,8 @@
 from ..exceptions import PeerError
 from ..membership.nodes import NodeInfo
 from ..membership.registry import ServerRegistry
+from ..membership.request_limits import RequestLimit
+from ..membership.request_limits import RequestLimits
 from ..peers.messages import ServersNotice
 from ..peers.messages import StateDigest
 from ..peers.messages import StateReply
@@ -31,8 +33,8 @@
 # News of the server list that arrives out of order is complete within this time.
 REORDERING_TIME_S = 0.03
 RETRY_DELAY_S = 0.05
-# Interval between two requests only because of departures that may be missing.
-DEPARTURES_REQUEST_INTERVAL_S = 1.0
+# Interval between two requests only because of departures or limits that may be missing.
+NOTICES_REQUEST_INTERVAL_S = 1.0
 # A connection to a node is closed if it was not used for this time.
 IDLE_CONNECTION_S = 5.0
 # changes of the server list that are kept for nodes that lack only those
@@ -99,20 +101,26 @@
     """Requests newer state from other nodes, and answers such requests.
 
     :param registry: the server list of this node.
+    :param request_limits: the limits that servers name.
     :param peer_clients: connections for requests to other nodes.
     :param get_table: returns the routing table of this node, ``None`` if it has none.
     :param apply_table: applies a routing table from the node with the given VM id.
+    :param add_request_limits: applies limits that servers name.
     """
 
     def __init__(
         self,
         *,
         registry: ServerRegistry,
+        request_limits: RequestLimits,
         peer_clients: PeerClients,
         get_table: t.Callable[[], RoutingTable | None],
         apply_table: t.Callable[[RoutingTable, str], bool],
+        add_request_limits: t.Callable[[list[RequestLimit]], t.Any],
     ) -> None:
         self._registry = registry
+        self._request_limits = request_limits
+        self._add_request_limits = add_request_limits
         self._peer_clients = peer_clients
         self._get_table = get_table
         self._apply_table = apply_table
@@ -124,7 +132,7 @@
         self._used_at: dict[str, float] = {}
         self._compressed_table = (NO_TABLE_VERSION, b"")
         self.request_count = 0
-        self._departures_requested_at = float("-inf")
+        self._notices_requested_at = float("-inf")
 
     def build_digest(self, nodes_hash: int) -> StateDigest:
         """Return the summary of what this node knows."""
@@ -136,6 +144,7 @@
             servers_position=registry.position,
             servers_age_ms=age_ms if registry.loaded else -1,
             leaving_hash=registry.compute_leaving_hash(),
+            limits_hash=self._request_limits.compute_hash(),
         )
 
     def handle_digest(self, sender: NodeInfo, digest: StateDigest) -> None:
@@ -169,6 +178,7 @@
         reply.servers_position = registry.position
         reply.servers_age_s = registry.get_list_age_s()
         reply.departures = registry.list_departures()
+        reply.request_limits = self._request_limits.list_limits()
         return reply
 
     def apply_notice(self, notice: ServersNotice) -> bool:
@@ -211,11 +221,14 @@
             return False
         if digest.servers_position > registry.position:
             return True
-        # Either node may lack departures; both request them, but not often.
+        # Either node may lack departures or limits; both request them, but not often.
         return (
             digest.servers_position == registry.position
-            and digest.leaving_hash != registry.compute_leaving_hash()
-            and time.monotonic() - self._departures_requested_at > DEPARTURES_REQUEST_INTERVAL_S
+            and (
+                digest.leaving_hash != registry.compute_leaving_hash()
+                or digest.limits_hash != self._request_limits.compute_hash()
+            )
+            and time.monotonic() - self._notices_requested_at > NOTICES_REQUEST_INTERVAL_S
         )
 
     async def _request_newer(self) -> None:
@@ -234,7 +247,7 @@
 
     async def _request_from(self, source: NodeInfo) -> None:
         self.request_count += 1
-        self._departures_requested_at = time.monotonic()
+        self._notices_requested_at = time.monotonic()
         address = source.peer_address
         self._used_at[address] = time.monotonic()
         request = StateRequest(
@@ -247,6 +260,7 @@
             self._apply_table(decompress_table(reply.table), source.vm_id)
         for departure in reply.departures:
             self._registry.add_departure(departure)
+        self._add_request_limits(reply.request_limits)
         if reply.listings is not None:
             self._registry.replace_listings(reply.listings, reply.servers_position)
             _logger.info(
--- a/src/jasmineseam/membership/registry.py
+++ b/src/jasmineseam/membership/registry.py
@@ -302,6 +302,10 @@
         """Return the newest listings of all servers."""
         return [registered.listing for registered in self._registered.values()]
 
+    def list_ids(self) -> t.KeysView[str]:
+        """Return the ids of all listed servers."""
+        return self._registered.keys()
+
     def count_usable(self) -> int:
         """Return the number of servers that may receive new requests."""
         return sum(len(servers) for servers in self._by_service.values())
--- a/src/jasmineseam/membership/request_limits.py
+++ b/src/jasmineseam/membership/request_limits.py
@@ -1,50 +1,199 @@
 """Limits on requests that servers name in their responses, as known to one node.
 
 A server in need names the number of requests per second that it accepts from all nodes together.
-The limit holds until a response of the server names another one or none.
+The limit holds until a response of the server names another one or none. Nodes send each other
+what they observe. Each change raises the version of the server's limit, so that news may arrive
+late, repeatedly and in any order.
 """
 
 from __future__ import annotations
 
 import typing as t
 
-import logbook
+import msgspec
+import xxhash
 
-_logger = logbook.Logger("limits")
+# A change of a limit by a smaller fraction is treated as no change, so that a limit that varies
+# slightly from response to response is not published with each one.
+MIN_CHANGE_FRACTION = 0.05
+# A limit is raised or withdrawn only this long after its last change, so that a server that names
+# different limits in quick succession causes little news.
+MIN_RAISE_DELAY_S = 0.5
+# A withdrawn limit is remembered for this time, so that older news doesn't restore it.
+WITHDRAWN_RETENTION_S = 120.0
+# Versions count changes and stay far below this. A higher one is malformed.
+MAX_VERSION = 2**53
+
+
+class RequestLimit(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """The limit that a server names, or that it has ceased to name one.
+
+    :param started_ms: Unix time of the server's start, in milliseconds.
+    :param version: increases with each change, at whichever node it is observed.
+    :param requests_per_s: requests per second that the server accepts from all nodes together,
+        ``None`` if it names no limit.
+    """
+
+    server_id: str
+    started_ms: int
+    version: t.Annotated[int, msgspec.Meta(ge=1, le=MAX_VERSION)]
+    requests_per_s: t.Annotated[float, msgspec.Meta(ge=0.0)] | None
+
+    def is_newer(self, other: RequestLimit) -> bool:
+        """Return whether this limit replaces another one of the same server.
+
+        Of two limits that nodes have observed at the same time, the lower one counts.
+        """
+        return self._get_order() > other._get_order()
+
+    def _get_order(self) -> tuple[int, int, float]:
+        limit = float("inf") if self.requests_per_s is None else self.requests_per_s
+        return self.started_ms, self.version, -limit
+
+
+class _KnownLimit:
+    """A limit with the circumstances of its last observation.
+
+    :param changed_at: time of the last change, on the clock of the limits.
+    """
+
+    __slots__ = ("changed_at", "confirmed_at", "limit", "named_by_probe")
+
+    def __init__(self, limit: RequestLimit, now: float) -> None:
+        self.limit = limit
+        self.changed_at = now
+        # time at which a response or news last named the limit
+        self.confirmed_at = now
+        # whether responses to probes name the limit, too
+        self.named_by_probe = False
 
 
 class RequestLimits:
     """The limits that servers name.
 
-    >>> limits = RequestLimits()
-    >>> limits.observe("s1", 1, 4.5), limits.observe("s1", 1, 4.5), limits.observe("s1", 1, None)
-    (True, False, True)
+    :param clock: returns monotonic time in seconds.
+
+    >>> now = 1.0
+    >>> limits = RequestLimits(clock=lambda: now)
+    >>> limits.observe("s1", 1, 4.5, sent_at=0.0).requests_per_s
+    4.5
+    >>> now = 2.0
+    >>> limits.observe("s1", 1, None, sent_at=0.9) is None  # sent before the limit was known
+    True
+    >>> limits.observe("s1", 1, None, sent_at=1.9).requests_per_s is None
+    True
     """
 
-    __slots__ = ("_limits",)
+    __slots__ = ("_clock", "_hash", "_known")
+
+    def __init__(self, *, clock: t.Callable[[], float]) -> None:
+        self._clock = clock
+        self._known: dict[str, _KnownLimit] = {}
+        # hash over the limits in force, ``None`` if they have changed since it was computed
+        self._hash: int | None = 0
 
-    def __init__(self) -> None:
-        # requests per second by the server's id and the Unix time of its start in milliseconds
-        self._limits: dict[tuple[str, int], float] = {}
+    def observe(
+        self,
+        server_id: str,
+        started_ms: int,
+        requests_per_s: float | None,
+        *,
+        sent_at: float,
+        probe: bool = False,
+    ) -> RequestLimit | None:
+        """Record what a response says of its server's limit; return the limit if it changed.
 
-    def observe(self, server_id: str, started_ms: int, requests_per_s: float | None) -> bool:
-        """Record what a response says of its server's limit; return whether it has changed.
+        A lower limit counts at once. A response withdraws or raises a limit only if its request
+        was sent after the limit was last named, since responses may overtake each other. A
+        response to a probe withdraws it only if responses to probes have named it.
 
         :param started_ms: Unix time of the server's start, in milliseconds.
         :param requests_per_s: the limit, ``None`` if the response names none.
+        :param sent_at: time at which the request was sent.
+        :param probe: whether the response answers a probe.
         """
-        key = (server_id, started_ms)
-        if self._limits.get(key) == requests_per_s:
+        known = self._known.get(server_id)
+        if known is not None and known.limit.started_ms > started_ms:
+            return None
+        current = self.get(server_id, started_ms)
+        if requests_per_s is None and current is None:
+            return None
+        if current is not None:
+            now = self._clock()
+            if requests_per_s is None:
+                if probe and not known.named_by_probe:
+                    return None
+            else:
+                known.named_by_probe |= probe
+                if _is_similar(requests_per_s, current):
+                    known.confirmed_at = now
+                    return None
+            raised = requests_per_s is None or requests_per_s > current
+            if raised and (
+                sent_at < known.confirmed_at or now < known.changed_at + MIN_RAISE_DELAY_S
+            ):
+                return None
+        limit = RequestLimit(
+            server_id=server_id,
+            started_ms=started_ms,
+            version=1 if known is None else known.limit.version + 1,
+            requests_per_s=requests_per_s,
+        )
+        self._put(limit)
+        self._known[server_id].named_by_probe = probe
+        return limit
+
+    def apply(self, limit: RequestLimit) -> bool:
+        """Record what another node has observed; return whether it was new."""
+        known = self._known.get(limit.server_id)
+        if known is not None and not limit.is_newer(known.limit):
             return False
-        if requests_per_s is None:
-            del self._limits[key]
-            _logger.info("Server {} names no limit on requests any more.", server_id)
-            return True
-        self._limits[key] = requests_per_s
-        _logger.info("Server {} limits itself to {:g} requests/s.", server_id, requests_per_s)
+        self._put(limit)
         return True
 
-    def list_limits(self) -> t.Iterator[tuple[str, float]]:
-        """Yield the servers that name a limit, with their limits in requests per second."""
-        for (server_id, _), requests_per_s in self._limits.items():
-            yield server_id, requests_per_s
+    def get(self, server_id: str, started_ms: int) -> float | None:
+        """Return the limit of one start of a server in requests per second, if it names one."""
+        known = self._known.get(server_id)
+        if known is None or known.limit.started_ms != started_ms:
+            return None
+        return known.limit.requests_per_s
+
+    def list_limits(self) -> list[RequestLimit]:
+        """Return all limits, including those that were withdrawn lately."""
+        return [known.limit for known in self._known.values()]
+
+    def compute_hash(self) -> int:
+        """Return a hash over the limits in force."""
+        if self._hash is not None:
+            return self._hash
+        combined = 0
+        for known in self._known.values():
+            limit = known.limit
+            if limit.requests_per_s is None:
+                continue
+            text = f"{limit.server_id} {limit.started_ms} {limit.version}"
+            combined ^= xxhash.xxh3_64_intdigest(text.encode())
+        self._hash = combined
+        return combined
+
+    def expire(self, listed_ids: t.Container[str]) -> None:
+        """Forget servers that are not listed, and limits that were withdrawn long ago.
+
+        Those that have changed lately are kept, since a server may be listed late.
+        """
+        now = self._clock()
+        for server_id, known in list(self._known.items()):
+            in_force = known.limit.requests_per_s is not None
+            if in_force and server_id in listed_ids:
+                continue
+            if now - known.changed_at >= WITHDRAWN_RETENTION_S:
+                del self._known[server_id]
+                self._hash = None
+
+    def _put(self, limit: RequestLimit) -> None:
+        self._hash = None
+        self._known[limit.server_id] = _KnownLimit(limit, self._clock())
+
+
+def _is_similar(first: float, second: float) -> bool:
+    return abs(first - second) <= MIN_CHANGE_FRACTION * second
--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -54,8 +54,8 @@
     :param registry: the registered servers.
     :param dispatchers: choose the server of each attempt.
     :param retry_limits: the limits on retries and hedges of each service, summed over all nodes.
-    :param record_server_state: called with the load state of a server and the head of its
-        response.
+    :param record_server_state: called with the load state of a server, the head of its response
+        and the time at which the request was sent.
     """
 
     def __init__(
@@ -65,7 +65,7 @@
         registry: ServerRegistry,
         dispatchers: Dispatchers,
         retry_limits: RetryBudgetSettings,
-        record_server_state: t.Callable[[ServerLoad, ResponseHead], None],
+        record_server_state: t.Callable[[ServerLoad, ResponseHead, float], None],
     ) -> None:
         self._dispatchers = dispatchers
         self._retry_limits = retry_limits
@@ -225,6 +225,7 @@
             )
             if hedge_server is None or not budget.take_attempt(HEDGE_RESERVED_BUDGET_FRACTION):
                 raise AttemptNotRunError("no-hedge")
+            hedge_server.take_token(time.monotonic())
             return await self._server_client.send_attempt(proxied, hedge_server)
 
         return await race_attempts(
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -12,6 +12,7 @@
 import time
 import typing as t
 
+import logbook
 import msgspec
 
 from ..exceptions import InvariantError
@@ -26,6 +27,7 @@
 from ..membership.nodes import NodeInfo
 from ..membership.registry import Departure
 from ..membership.registry import ServerRegistry
+from ..membership.request_limits import RequestLimit
 from ..operations.daemon import Daemon
 from ..operations.node_settings import NodeOptions
 from ..operations.node_settings import NodeSettings
@@ -38,6 +40,7 @@
 from ..peers.messages import ServersNotice
 from ..peers.messages import StateRequest
 from ..requests.protocol import HeaderCodec
+from ..routing.request_shares import ShareCandidate
 from ..routing.routes import RoutingTable
 from .endpoints import EndpointConfig
 from .endpoints import NodeEndpoints
@@ -54,6 +57,7 @@
 LISTENING_GRACE_FRACTION = 0.45
 # Running requests may finish until this fraction of the grace period has passed.
 DRAINING_GRACE_FRACTION = 0.94
+_limits_logger = logbook.Logger("limits")
 
 
 class Node(Daemon):
@@ -112,14 +116,18 @@
             retry_limits=settings.retries,
             request_log=self.request_log,
             on_server_leaving=self._report_departure,
+            on_request_limit=self._report_request_limit,
             caller_round_trip_s=options.caller_round_trip_s,
         )
+        self.gateway.dispatchers.list_share_candidates = self._list_share_candidates
         self.datagrams = DatagramEndpoint(handler=self._handle_datagram)
         self.state_sync = StateSynchronizer(
             registry=self.registry,
+            request_limits=self.gateway.request_limits,
             peer_clients=self.peer_clients,
             get_table=lambda: self.gateway.routing_table,
             apply_table=self._apply_routing_table,
+            add_request_limits=self._add_request_limits,
         )
         self.fleet = Fleet(
             own=NodeInfo(
@@ -136,6 +144,7 @@
                 get_digest=self.state_sync.build_digest,
                 on_digest=self.state_sync.handle_digest,
                 add_departures=self._add_departures,
+                add_request_limits=self._add_request_limits,
                 apply_servers=self.state_sync.apply_notice,
                 on_nodes_changed=self._apply_node_count,
             ),
@@ -274,6 +283,7 @@
             "servers": self.registry.count_usable(),
             "servers_age_s": round(self.registry.get_list_age_s(), 3),
             "in_flight": self.gateway.in_flight,
+            "request_shares": dict(self.gateway.dispatchers.list_request_shares()),
             "task_restarts": dict(self.task_restarts),
             "outcomes": dict(self.gateway.outcome_counts),
             "nodes": self.fleet.membership.list_statuses(),
@@ -342,6 +352,37 @@
     def _add_departures(self, departures: list[Departure]) -> list[Departure]:
         return [departure for departure in departures if self.registry.add_departure(departure)]
 
+    def _report_request_limit(self, limit: RequestLimit) -> None:
+        """Log and spread a limit that a server has named, moved or withdrawn in a response."""
+        self._log_request_limit(limit, "its response")
+        self.fleet.publish(request_limits=[limit], urgent=True)
+
+    def _add_request_limits(self, limits: list[RequestLimit]) -> list[RequestLimit]:
+        new = [limit for limit in limits if self.gateway.request_limits.apply(limit)]
+        if new:
+            self.gateway.dispatchers.apply_request_limits()
+        for limit in new:
+            self._log_request_limit(limit, "another node")
+        return new
+
+    def _log_request_limit(self, limit: RequestLimit, source: str) -> None:
+        if limit.requests_per_s is None:
+            _limits_logger.info(
+                "Server {} names no limit any more, according to {}; it is used as before.",
+                limit.server_id,
+                source,
+            )
+            return
+        shares = dict(self.gateway.dispatchers.list_request_shares())
+        _limits_logger.info(
+            "Server {} accepts {:g} requests/s from all nodes, according to {}; "
+            "this node sends at most {:.3g}/s.",
+            limit.server_id,
+            limit.requests_per_s,
+            source,
+            shares.get(limit.server_id, 0.0),
+        )
+
     def _apply_node_count(self) -> None:
         """Adapt shared limits and the subsets of servers to the number of nodes."""
         membership = self.fleet.membership
@@ -349,6 +390,14 @@
             membership.count(), membership.count(self.settings.vm.failure_domain)
         )
 
+    def _list_share_candidates(self) -> list[ShareCandidate]:
+        membership = self.fleet.membership
+        return [
+            ShareCandidate(info.vm_id, info.failure_domain)
+            for info in (*membership.list_peers(), membership.own)
+            if not info.leaving
+        ]
+
     async def _run_supervised(self, run_forever: t.Callable[[], t.Awaitable[None]]) -> None:
         """Run a background task, and start it again after an unexpected error.
 
@@ -375,9 +424,11 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._apply_node_count()
+            self.gateway.dispatchers.follow_share_candidates()
             self.fleet.update_own(ready=self.ready, leaving=self._leaving)
             self.state_sync.close_idle_connections()
             self.gateway.dispatchers.expire_borrowed()
+            self.gateway.request_limits.expire(self.registry.list_ids())
             addresses = {listing.server.address for listing in self.registry.list_listings()}
             self.gateway.connections.expire_connections(addresses)
             self._listeners.enforce_limits(self.gateway.caller_limits)
--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -9,8 +9,12 @@
 from ..measuring.load_reports import DetailedLoadReport
 from ..membership.registry import RegisteredServer
 from ..membership.registry import ServerRegistry
+from ..membership.request_limits import RequestLimits
 from ..routing.dispatch import Dispatcher
 from ..routing.load import ServerLoad
+from ..routing.request_shares import ShareCandidate
+from ..routing.request_shares import TokenBucket
+from ..routing.request_shares import compute_share
 from ..routing.subsets import SubsetMember
 from ..routing.subsets import choose_subset
 
@@ -24,6 +28,7 @@
     :param node_id: the VM of this node.
     :param failure_domain: the failure domain of this node.
     :param registry: the registered servers.
+    :param request_limits: the limits that servers name.
     :param on_server_replaced: called with the address of a server that has restarted.
     """
 
@@ -33,6 +38,7 @@
         node_id: str,
         failure_domain: str,
         registry: ServerRegistry,
+        request_limits: RequestLimits,
         on_server_replaced: t.Callable[[str], None] = lambda address: None,
     ) -> None:
         self._node_id = node_id
@@ -42,6 +48,15 @@
         # end of the pause of each paused server, by its id and the Unix time of its start in
         # milliseconds; kept while the server is not listed
         self._paused_until: dict[tuple[str, int], float] = {}
+        self._request_limits = request_limits
+        # this node's shares of the limits that servers name, by the server's id and the Unix time
+        # of its start in milliseconds
+        self._request_buckets: dict[tuple[str, int], TokenBucket] = {}
+        self._share_candidates: list[ShareCandidate] = []
+        # Returns all nodes that may send requests, including this one.
+        self.list_share_candidates: t.Callable[[], list[ShareCandidate]] = lambda: [
+            ShareCandidate(node_id, failure_domain)
+        ]
         self._rng = random.Random()
         self._by_service: dict[str, Dispatcher] = {}
         # Called with a dispatcher when one of its requests has to wait for a server.
@@ -82,6 +97,50 @@
         for dispatcher in self._by_service.values():
             self._refresh_dispatcher(dispatcher)
 
+    def follow_share_candidates(self) -> None:
+        """Apply a change of the nodes that share the limits which servers name."""
+        if self._request_buckets and self.list_share_candidates() != self._share_candidates:
+            self.apply_request_limits()
+
+    def apply_request_limits(self) -> None:
+        """Apply changed limits that servers name."""
+        self._update_request_buckets()
+        for dispatcher in self._by_service.values():
+            self._refresh_dispatcher(dispatcher)
+            dispatcher.place_queued_requests()
+
+    def list_request_shares(self) -> list[tuple[str, float]]:
+        """Return the servers that name a limit, with the requests per second of this node."""
+        return [
+            (server_id, bucket.share.requests_per_s)
+            for (server_id, _), bucket in self._request_buckets.items()
+        ]
+
+    def _update_request_buckets(self) -> None:
+        """Compute this node's shares of the limits; a server may be listed after its limit."""
+        now = time.monotonic()
+        buckets = {}
+        self._share_candidates = self.list_share_candidates()
+        for limit in self._request_limits.list_limits():
+            registered = self._registry.get_server(limit.server_id)
+            if limit.requests_per_s is None or registered is None:
+                continue
+            share = compute_share(
+                limit.requests_per_s,
+                server_id=limit.server_id,
+                failure_domain=registered.server.failure_domain,
+                node_id=self._node_id,
+                nodes=self._share_candidates,
+            )
+            key = (limit.server_id, limit.started_ms)
+            bucket = self._request_buckets.get(key)
+            if bucket is None:
+                bucket = TokenBucket(share=share, now=now)
+            else:
+                bucket.set_share(share, now)
+            buckets[key] = bucket
+        self._request_buckets = buckets
+
     def borrow_servers(self, dispatcher: Dispatcher, count: int) -> list[ServerLoad]:
         """Add servers outside of this node's subset for a while; return them.
 
@@ -91,6 +150,7 @@
             registered
             for registered in self._registry.list_usable(dispatcher.service)
             if registered.server.server_id not in dispatcher.loads
+            and self._get_request_bucket(registered) is None
         ]
         now = time.monotonic()
         borrowed = []
@@ -144,6 +204,7 @@
 
         :param services: the services in the routing table.
         """
+        self._update_request_buckets()
         for service in services:
             self._refresh_dispatcher(self.get(service))
 
@@ -151,11 +212,18 @@
         now = time.monotonic()
         loads = {}
         usable = self._registry.list_usable(dispatcher.service)
-        subset = self._choose_subset(dispatcher, usable)
+        unlimited = [
+            registered for registered in usable if self._get_request_bucket(registered) is None
+        ]
+        subset = self._choose_subset(dispatcher, unlimited)
         for registered in usable:
             server = registered.server
             load = dispatcher.loads.get(server.server_id)
-            in_subset = server.server_id in subset
+            bucket = self._get_request_bucket(registered)
+            if bucket is not None and not bucket.share.requests_per_s:
+                continue
+            # This node uses each server of whose limit it has a share.
+            in_subset = bucket is not None or server.server_id in subset
             if not in_subset and (load is None or not _is_borrowed(load, now)):
                 continue
             # Load state is created for a new server, and replaced if the address or the start time
@@ -170,6 +238,7 @@
                 load.borrowed_until = borrowed_until
             if in_subset:
                 load.borrowed_until = None
+            load.request_bucket = bucket
             load.warmup_ends_at = registered.warmup_ends_at
             loads[server.server_id] = load
         dispatcher.loads = loads
@@ -190,6 +259,13 @@
         dispatcher.node_count = max(1.0, self.node_count * len(subset) / max(1, len(usable)))
         return set(subset)
 
+    def _get_request_bucket(self, registered: RegisteredServer) -> TokenBucket | None:
+        """Return this node's share of the limit that a server names, ``None`` without a limit."""
+        if not self._request_buckets:
+            return None
+        key = (registered.server.server_id, registered.listing.started_ms)
+        return self._request_buckets.get(key)
+
     def _create_load(self, registered: RegisteredServer, now: float) -> ServerLoad:
         server = registered.server
         started_ms = registered.listing.started_ms
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -12,6 +12,7 @@
 from ..exceptions import NotRunError
 from ..exceptions import UnknownOutcomeError
 from ..membership.registry import ServerRegistry
+from ..membership.request_limits import RequestLimit
 from ..membership.request_limits import RequestLimits
 from ..operations.node_settings import RetryBudgetSettings
 from ..operations.request_log import OUTCOME_ANSWERED
@@ -56,6 +57,7 @@
     :param request_log: writes a line for each request, within its rate limit.
     :param on_server_leaving: called with a server's id and the Unix time of its start in
         milliseconds if a response reports that the server is leaving.
+    :param on_request_limit: called when a response changes the limit that its server names.
     :param caller_round_trip_s: network round trip between a caller and the node, in seconds.
     """
 
@@ -69,11 +71,13 @@
         retry_limits: RetryBudgetSettings,
         request_log: RequestLog,
         on_server_leaving: t.Callable[[str, int], None] = lambda server_id, started_ms: None,
+        on_request_limit: t.Callable[[RequestLimit], None] = lambda limit: None,
         caller_round_trip_s: float = 0.0,
     ) -> None:
         self._caller_round_trip_s = caller_round_trip_s
         self._header_codec = header_codec
         self._request_log = request_log
+        self.request_limits = RequestLimits(clock=time.monotonic)
         self._route_index: RouteIndex | None = None
         self._service_balancer = WeightedRoundRobin()
         self._timeout_estimators: dict[str, CallerTimeoutEstimator] = {}
@@ -81,6 +85,7 @@
             node_id=node_id,
             failure_domain=failure_domain,
             registry=registry,
+            request_limits=self.request_limits,
             on_server_replaced=lambda address: self.connections.discard(address),
         )
         self.attempts = AttemptRunner(
@@ -91,7 +96,7 @@
             record_server_state=self.record_server_state,
         )
         self._on_server_leaving = on_server_leaving
-        self.request_limits = RequestLimits()
+        self._on_request_limit = on_request_limit
         # While set, each response closes its caller connection.
         self.draining = False
         self.in_flight = 0
@@ -114,17 +119,34 @@
         """Size limits and timeouts for callers' requests and connections."""
         return CallerLimits() if self._route_index is None else self._route_index.table.limits
 
-    def record_server_state(self, load: ServerLoad, head: ResponseHead) -> None:
+    def record_server_state(
+        self, load: ServerLoad, head: ResponseHead, sent_at: float, *, probe: bool = False
+    ) -> None:
         """Act on what a response says of the server beyond its load.
 
         A server that is leaving gets no new requests. One that has sent a retry time gets none
-        until that time is over.
+        until that time is over. The limit that a server names is shared with the other nodes.
+
+        :param sent_at: monotonic time at which the request was sent, in seconds.
+        :param probe: whether the response answers a probe.
         """
         if head.leaving:
             self._on_server_leaving(load.server_id, load.started_ms)
         if head.retry_after_s > 0.0:
             self.dispatchers.pause_server(load, time.monotonic() + head.retry_after_s)
-        self.request_limits.observe(load.server_id, load.started_ms, head.request_limit_per_s)
+        if head.request_limit_per_s is None and not (head.signed or head.not_run or probe):
+            # A response that may not be the server's own withdraws no limit.
+            return
+        limit = self.request_limits.observe(
+            load.server_id,
+            load.started_ms,
+            head.request_limit_per_s,
+            sent_at=sent_at,
+            probe=probe,
+        )
+        if limit is not None:
+            self.dispatchers.apply_request_limits()
+            self._on_request_limit(limit)
 
     def apply_routing_table(self, table: RoutingTable) -> bool:
         """Apply a routing table if its version is newer; return whether it was applied."""
--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -23,6 +23,7 @@
 from ..routing.dispatch import Dispatcher
 from ..routing.dispatch import PlacementRequest
 from ..routing.load import ServerLoad
+from ..routing.request_shares import PROBES_PER_S
 from ..transport.response_memory import ResponseMemory
 from .gateway import Gateway
 
@@ -101,14 +102,13 @@
 
     async def _probe_sample(self, dispatcher: Dispatcher, excluded_ids: set[str]) -> None:
         now = time.monotonic()
-        min_interval_s = self._compute_min_interval_s(dispatcher)
         candidates = [
             load
             for load in dispatcher.loads.values()
             if load.server_id not in excluded_ids
-            and now >= load.get_available_at()
+            and now >= load.get_available_at(now)
             and now - load.reported_at > MIN_REPORT_AGE_S
-            and now - load.last_probe_at >= min_interval_s
+            and now - load.last_probe_at >= self._compute_min_interval_s(dispatcher, load)
             and load.server_id not in self._probe_tasks
         ]
         count = min(self._options.per_placement, len(candidates))
@@ -120,11 +120,14 @@
         tasks = [self._start_probe(dispatcher, load) for load in loads]
         await asyncio.wait(tasks, timeout=self._options.wait_s)
 
-    def _compute_min_interval_s(self, dispatcher: Dispatcher) -> float:
+    def _compute_min_interval_s(self, dispatcher: Dispatcher, load: ServerLoad) -> float:
         """Return the least interval between two probes of a server by this node, in seconds.
 
-        With it, the nodes that use the same servers stay within the limit together.
+        With it, the nodes that use the same servers stay within the limit together. A server that
+        names a limit on requests gets few probes, too.
         """
+        if load.request_bucket is not None:
+            return load.request_bucket.share.node_count / PROBES_PER_S
         limit_per_s = max(0.001, USABLE_LIMIT_FRACTION * self.max_probes_per_s)
         return dispatcher.node_count / limit_per_s
 
@@ -162,6 +165,7 @@
         complete = False
         try:
             self.sent_count += 1
+            sent_at = time.monotonic()
             await connection.send("GET", service.health_path, headers, b"")
             exchange = await connection.receive_head(self._decode_probe_head)
             observed_at = time.monotonic()
@@ -176,7 +180,7 @@
                 connection.close()
         if head.server_id and head.server_id != load.server_id:
             return
-        self._gateway.record_server_state(load, head)
+        self._gateway.record_server_state(load, head, sent_at, probe=True)
         if head.report is None:
             return
         if self._gateway.dispatchers.record_report(dispatcher, load, head.report, observed_at):
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -56,9 +56,16 @@
         return [(registry.get_list_age_s(), {})]
 
     def read_request_limits():
+        return [
+            (limit.requests_per_s, {"server": limit.server_id})
+            for limit in gateway.request_limits.list_limits()
+            if limit.requests_per_s is not None
+        ]
+
+    def read_request_shares():
         return [
             (requests_per_s, {"server": server_id})
-            for server_id, requests_per_s in gateway.request_limits.list_limits()
+            for server_id, requests_per_s in gateway.dispatchers.list_request_shares()
         ]
 
     gateway.record_duration = add_histogram(
@@ -73,4 +80,11 @@
     add_gauge(
         provider, "servers.request_limit", "1/s", "Named by servers in need.", read_request_limits
     )
+    add_gauge(
+        provider,
+        "servers.request_share",
+        "1/s",
+        "Part of the limit that this node may use.",
+        read_request_shares,
+    )
     add_gauge(provider, "servers.age", "s", "Age of the list of servers.", read_server_list_age)
--- a/src/jasmineseam/node/server_client.py
+++ b/src/jasmineseam/node/server_client.py
@@ -42,8 +42,8 @@
     :param registry: the registered servers; a server is marked as stale there if a request for it
         reaches another server.
     :param record_report: stores a load report.
-    :param record_server_state: called with the load state of a server and the head of its
-        response.
+    :param record_server_state: called with the load state of a server, the head of its response
+        and the time at which the request was sent.
     """
 
     def __init__(
@@ -52,7 +52,7 @@
         header_codec: HeaderCodec,
         registry: ServerRegistry,
         record_report: t.Callable[..., bool],
-        record_server_state: t.Callable[[ServerLoad, ResponseHead], None],
+        record_server_state: t.Callable[[ServerLoad, ResponseHead, float], None],
     ) -> None:
         self._header_codec = header_codec
         self._registry = registry
@@ -137,6 +137,7 @@
         remaining_s = proxied.deadline_at - time.monotonic() - RESPONSE_MARGIN_S
         headers = self._build_headers(proxied, load, remaining_s)
         proxied.sent = True
+        sent_at = time.monotonic()
         await connection.send(proxied.method, proxied.path, headers, proxied.body)
 
         # Returns None for a response to an earlier request; the connection skips that response.
@@ -155,7 +156,7 @@
         if report is not None:
             self._record_report(proxied.dispatcher, load, report, observed_at)
         if not head.misdirected:
-            self._record_server_state(load, head)
+            self._record_server_state(load, head, sent_at)
         body, complete = await connection.read_body(
             exchange, MAX_RESPONSE_BYTES, self._response_memory
         )
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -16,6 +16,7 @@
 from ..membership.registry import Departure
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerListing
+from ..membership.request_limits import RequestLimit
 from ..membership.servers import LeavingReport
 from ..membership.servers import Server
 from ..membership.store_position import UNKNOWN_POSITION
@@ -215,6 +216,7 @@
     :param servers_age_ms: time since the list was confirmed by a read of the store, in
         milliseconds; -1 if the node has no list.
     :param leaving_hash: hash over the listed servers that have reported their departure.
+    :param limits_hash: hash over the limits that servers name.
     """
 
     nodes_hash: int
@@ -222,6 +224,7 @@
     servers_position: StorePosition
     servers_age_ms: t.Annotated[int, msgspec.Meta(ge=-1, le=2**31)]
     leaving_hash: int = 0
+    limits_hash: int = 0
 
 
 class FleetMessage(Message):
@@ -294,12 +297,14 @@
     :param nodes: new states of nodes.
     :param suspected: VM ids and versions of nodes that are suspected of having failed.
     :param departures: servers that are leaving, according to their own responses.
+    :param request_limits: limits that servers have named, moved or withdrawn.
     """
 
     nodes: list[NodeInfo] = []
     suspected: list[tuple[str, int]] = []
     departures: list[Departure] = []
     servers: ServersNotice | None = None
+    request_limits: list[RequestLimit] = []
 
 
 class StateRequest(Message, tag="state-request"):
@@ -323,6 +328,7 @@
     :param servers_position: store position up to which the replying node knows the list.
     :param servers_age_s: time since a read of the store confirmed the list, in seconds.
     :param departures: servers that have left or are leaving.
+    :param request_limits: limits that servers name or have withdrawn lately.
     """
 
     table: bytes = b""
@@ -331,6 +337,7 @@
     servers_position: StorePosition = UNKNOWN_POSITION
     servers_age_s: t.Annotated[float, msgspec.Meta(ge=0.0)] = float("inf")
     departures: list[Departure] = []
+    request_limits: list[RequestLimit] = []
 
 
 class DumpRequest(Message, tag="dump-request"):
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -124,6 +124,7 @@
             estimates = self._estimate_best_servers(request.excluded_server_ids, now)
             load = self._select_server(request, now, *estimates, contended=False)
             if load is not None:
+                load.take_token(now)
                 return load
         self._check_queue_limits(request, now)
         queued = _QueuedRequest(request, now, asyncio.get_running_loop().create_future())
@@ -222,6 +223,7 @@
                 contended = True
                 continue
             shared_estimates = None
+            load.take_token(now)
             self._queue.remove(queued)
             queued.placement_future.set_result(load)
             # The awaiting task calls start_request when the event loop resumes it. Until then,
@@ -243,21 +245,42 @@
     def estimate_retry_after_s(self) -> float:
         """Return the time after which a refused request can be placed, in seconds.
 
-        This is the expected wait in the queue, or the time until the first server that is ejected
-        or has sent a retry time may be used.
+        This is the expected wait in the queue, or the time until the first server that is ejected,
+        has sent a retry time or names a limit may be used.
         """
         if not self.loads:
             return NO_SERVER_RETRY_AFTER_S
         now = self._clock()
-        available_in_s = min(load.get_available_at() for load in self.loads.values()) - now
+        available_in_s = min(load.get_available_at(now) for load in self.loads.values()) - now
         return max(MIN_RETRY_AFTER_S, self.estimate_wait_s(), available_in_s)
 
     def _estimate_capacity_per_s(self) -> float:
-        """Return this node's equal share of the servers' capacity, in requests per second."""
-        slots = sum(load.slots for load in self.loads.values())
-        return (
-            slots / (self.service_time_s * max(1.0, self.average_slowness.value)) / self.node_count
-        )
+        """Return this node's share of the servers' capacity, in requests per second.
+
+        Of a server that names a limit, this is its share of the limit at most.
+        """
+        slot_time_s = self.service_time_s * max(1.0, self.average_slowness.value)
+        capacity_per_s = 0.0
+        for load in self.loads.values():
+            share_per_s = load.slots / slot_time_s / self.node_count
+            if load.request_bucket is not None:
+                share_per_s = min(share_per_s, load.request_bucket.share.requests_per_s)
+            capacity_per_s += share_per_s
+        return capacity_per_s
+
+    def _expects_token(self, request: PlacementRequest, now: float) -> bool:
+        """Return whether the limits that servers name allow a request in time for its target.
+
+        Used while no server may receive a request. Requests that are queued already come first.
+        """
+        limited = [load for load in self.loads.values() if load.request_bucket is not None]
+        if not limited:
+            return False
+        available_at = min(load.get_available_at(now) for load in limited)
+        tokens_per_s = sum(load.request_bucket.share.requests_per_s for load in limited)
+        available_at += max(0, len(self._queue) - 1) / tokens_per_s
+        duration_s = request.service_time_s * max(1.0, self.average_slowness.value)
+        return available_at + duration_s <= request.target_at
 
     def _estimate_best_servers(
         self, excluded_server_ids: set[str], now: float
@@ -316,7 +339,9 @@
         :raises NotRunError: if the request should be rejected.
         """
         if best is None:
-            raise NotRunError("no-server", 503, self.estimate_retry_after_s())
+            if self._expects_token(request, now):
+                return None
+            raise NotRunError(self._get_unavailable_reason(), 503, self.estimate_retry_after_s())
         service_time_s = request.service_time_s
         if (
             best_free is not None
@@ -341,6 +366,11 @@
             return best.load
         raise self._build_overload_error(request, now)
 
+    def _get_unavailable_reason(self) -> str:
+        if any(load.request_bucket is not None for load in self.loads.values()):
+            return "server-limit"
+        return "no-server"
+
     def _has_only_reserved_slots(self, now: float) -> bool:
         """Return whether all free slots are reserved for feasible requests."""
         in_flight = 0
--- a/src/jasmineseam/routing/load.py
+++ b/src/jasmineseam/routing/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..measuring.load_reports import DetailedLoadReport
+from .request_shares import TokenBucket
 
 # a report's requests count as in flight for this time
 REPORT_LIFETIME_S = 1.0
@@ -40,6 +41,7 @@
         "paused_until",
         "report",
         "reported_at",
+        "request_bucket",
         "request_start_times",
         "server_id",
         "slots",
@@ -73,6 +75,8 @@
         self.ejected_until = 0.0
         # the server has asked for no requests until this time
         self.paused_until = 0.0
+        # this node's share of the limit that the server names, ``None`` if it names none
+        self.request_bucket: TokenBucket | None = None
         # reset by a successful attempt
         self._consecutive_ejections = 0
 
@@ -138,9 +142,17 @@
         self._consecutive_ejections += 1
         self.ejected_until = now + ejection_s
 
-    def get_available_at(self) -> float:
+    def get_available_at(self, now: float) -> float:
         """Return the time from which the server may receive requests."""
-        return max(self.ejected_until, self.paused_until)
+        available_at = max(self.ejected_until, self.paused_until)
+        if self.request_bucket is not None:
+            available_at = max(available_at, self.request_bucket.get_available_at(now))
+        return available_at
+
+    def take_token(self, now: float) -> None:
+        """Count a request that will be sent against the limit that the server names."""
+        if self.request_bucket is not None:
+            self.request_bucket.take(now)
 
     def get_failure_rate(self, now: float) -> float:
         """Return the fraction of recent attempts that failed; it decays over time."""
--- a/src/jasmineseam/routing/placement.py
+++ b/src/jasmineseam/routing/placement.py
@@ -139,7 +139,7 @@
     """
     best_free = best = None
     for load in loads:
-        if now < load.get_available_at():
+        if now < load.get_available_at(now):
             continue
         candidate = estimate_server(load, now, average_slowness, service_time_s, failure_domain)
         factor = candidate.latency_factor * (1.0 + TIE_BREAK_JITTER_FRACTION * rng.random())
--- /dev/null
+++ b/src/jasmineseam/routing/request_shares.py
@@ -0,0 +1,143 @@
+"""Each node's share of the limit on requests that a server names for all nodes together.
+
+A few nodes share the limit of a server equally, and the others send it nothing. All nodes choose
+the same few by rendezvous hashing over the membership, without exchanging messages. With a share
+for each node, the shares of a large fleet would be too small to use, and the first requests of all
+nodes alone could exceed the limit.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+import xxhash
+
+# Fraction of the limit that the nodes use, so that they stay within it while nodes that don't know
+# of each other's start or failure yet share it among too few.
+USABLE_LIMIT_FRACTION = 0.9
+# requests that all nodes may send at once, in addition to those that the server accepts in 1 s
+BURST_REQUESTS = 2
+# All nodes together send at least this many requests per second. Only a response can show that a
+# server which accepts nearly no requests has withdrawn its limit.
+MIN_REQUESTS_PER_S = 0.1
+# probes per second that all nodes send to a server that names a limit
+PROBES_PER_S = 0.5
+
+
+class RequestShare(t.NamedTuple):
+    """The part of a server's limit that one node may use.
+
+    :param requests_per_s: 0 if the node may send no requests.
+    :param burst: number of requests that the node may send at once.
+    :param node_count: number of nodes that share the limit.
+    """
+
+    requests_per_s: float
+    burst: float
+    node_count: int
+
+
+NO_SHARE = RequestShare(0.0, 0.0, 0)
+
+
+class ShareCandidate(t.NamedTuple):
+    """A node that may get a share of a server's limit."""
+
+    vm_id: str
+    failure_domain: str
+
+
+def compute_share(
+    limit_per_s: float,
+    *,
+    server_id: str,
+    failure_domain: str,
+    node_id: str,
+    nodes: t.Collection[ShareCandidate],
+) -> RequestShare:
+    """Return a node's share of a server's limit.
+
+    Nodes in the server's failure domain come first.
+
+    :param limit_per_s: requests per second that the server accepts from all nodes together.
+    :param failure_domain: failure domain of the server.
+    :param node_id: VM of the node.
+    :param nodes: all nodes, including this one.
+
+    >>> nodes = [ShareCandidate(f"n{number}", "d1") for number in range(9)]
+    >>> shares = [
+    ...     compute_share(1.0, server_id="s", failure_domain="d1", node_id=node.vm_id, nodes=nodes)
+    ...     for node in nodes
+    ... ]
+    >>> round(sum(share.requests_per_s for share in shares), 3)
+    0.9
+    >>> sum(share.burst for share in shares)
+    3.0
+    """
+    burst = BURST_REQUESTS + limit_per_s
+    count = max(1, min(len(nodes), int(burst)))
+    own_key = None
+    preceding = 0
+    keys = []
+    for node in nodes:
+        key = (
+            node.failure_domain != failure_domain,
+            xxhash.xxh3_64_intdigest(f"{node.vm_id} {server_id}".encode()),
+        )
+        keys.append(key)
+        if node.vm_id == node_id:
+            own_key = key
+    if own_key is None:
+        return NO_SHARE
+    preceding = sum(key < own_key for key in keys)
+    if preceding >= count:
+        return NO_SHARE
+    requests_per_s = max(MIN_REQUESTS_PER_S, USABLE_LIMIT_FRACTION * limit_per_s)
+    return RequestShare(requests_per_s / count, max(1.0, burst / count), count)
+
+
+class TokenBucket:
+    """Bounds the requests of one node to one server. It starts empty.
+
+    :param share: rate and capacity of the bucket.
+    :param now: current monotonic time, in seconds.
+
+    >>> bucket = TokenBucket(share=RequestShare(2.0, 1.0, 1), now=0.0)
+    >>> bucket.get_available_at(0.0), bucket.get_available_at(0.6)
+    (0.5, 0.6)
+    >>> bucket.take(0.6)
+    >>> bucket.get_available_at(0.6)
+    1.1
+    """
+
+    __slots__ = ("_refilled_at", "_tokens", "share")
+
+    def __init__(self, *, share: RequestShare, now: float) -> None:
+        self.share = share
+        self._tokens = 0.0
+        self._refilled_at = now
+
+    def set_share(self, share: RequestShare, now: float) -> None:
+        """Replace rate and capacity; tokens above the new capacity are lost."""
+        self._refill(now)
+        self.share = share
+        self._tokens = min(self._tokens, share.burst)
+
+    def get_available_at(self, now: float) -> float:
+        """Return the time from which a request may be sent."""
+        self._refill(now)
+        if self._tokens >= 1.0:
+            return now
+        if self.share.requests_per_s <= 0.0:
+            return float("inf")
+        return now + (1.0 - self._tokens) / self.share.requests_per_s
+
+    def take(self, now: float) -> None:
+        """Count one request."""
+        self._refill(now)
+        self._tokens -= 1.0
+
+    def _refill(self, now: float) -> None:
+        gained = max(0.0, now - self._refilled_at) * self.share.requests_per_s
+        self._tokens = min(self.share.burst, self._tokens + gained)
+        self._refilled_at = now
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,8 +14,22 @@
 KNOWN_FAILURES_FILE = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
-def pytest_collection_modifyitems(items):
-    """Let the known failures, and only these, fail without failing the run."""
+def pytest_addoption(parser):
+    """Add the option for the long run of simulations, which is started by hand."""
+    parser.addoption("--long", action="store_true", help="also run the simulations marked as long")
+
+
+def pytest_configure(config):
+    """Register the marker of long simulations."""
+    config.addinivalue_line("markers", "long: runs only with --long")
+
+
+def pytest_collection_modifyitems(config, items):
+    """Leave out long simulations, and let only the known failures fail without failing the run."""
+    if not config.getoption("--long"):
+        left_out = [item for item in items if item.get_closest_marker("long")]
+        config.hook.pytest_deselected(items=left_out)
+        items[:] = [item for item in items if item not in left_out]
     if not KNOWN_FAILURES_FILE.exists():
         return
     lines = KNOWN_FAILURES_FILE.read_text().splitlines()
--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -446,7 +446,10 @@
         self.node_delays_s = collections.defaultdict(float)
         self.crashes_on = lambda path: False
         self.outcomes = []
+        # time, status and duration of each response
+        self.responses = []
         self.nodes = {}
+        self._names_by_host = {}
         self._tasks = set()
         self._request_ids = itertools.count(1)
         self.servers = [
@@ -472,6 +475,7 @@
         """
         simulated = SimulatedNode(name=name, simulation=self)
         self.nodes[name] = simulated
+        self._names_by_host[simulated.node.settings.vm.address] = name
         if knows_state:
             node = simulated.node
             node._apply_routing_table(_build_table(), "store")
@@ -514,10 +518,7 @@
     def find_node(self, address):
         """Return the running node at an address, ``None`` if there is none."""
         host = address.partition(":")[0]
-        for simulated in self.nodes.values():
-            if simulated.node.settings.vm.address == host:
-                return simulated
-        return None
+        return self.nodes.get(self._names_by_host.get(host, ""))
 
     def send_datagram(self, sender, address, data):
         """Deliver a datagram after its delay, unless it is lost or cut off."""
@@ -546,9 +547,10 @@
         number = next(self._request_ids)
         if node is None:
             node = self.rng.choice(list(self.nodes.values()))
+        started_at = get_time()
         try:
             async with asyncio.timeout(deadline_s):
-                return await node.handle(
+                status, headers = await node.handle(
                     path or f"/safe/{number}",
                     method=method,
                     deadline_ms=1000 * deadline_s,
@@ -557,16 +559,18 @@
                 )
         except TimeoutError:
             return 0, {}
+        self.responses.append((started_at, status, get_time() - started_at))
+        return status, headers
 
     async def call(self, path=None, *, choose_node=None, attempts=2, deadline_s=1.5):
         """Send a request as callers do: one that is refused returns after the time given."""
         started_at = get_time()
         status = 0
-        for _ in range(attempts):
+        for number in range(attempts):
             remaining_s = started_at + deadline_s - get_time()
             node = choose_node() if choose_node is not None else None
             status, headers = await self.send_request(path, node=node, deadline_s=remaining_s)
-            if status != 503:
+            if status != 503 or number == attempts - 1:
                 break
             remaining_s = started_at + deadline_s - get_time()
             retry_after_s = float(headers.get("Retry-After", 0.0))
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -79,6 +79,18 @@
 
 
 SIZES = [(6, 12, 120.0), (30, 30, 150.0), (123, 60, 240.0)]
+LIMITS = [0.0, 1.0, 2.4, 4.1, 20.0]
+
+
+def name_limits(simulation, limits=LIMITS):
+    for server, limit in zip(simulation.servers, limits, strict=False):
+        server.name_limit(limit)
+
+
+def choose_names(simulation, share):
+    """Draw the names of a share of the nodes, without the one that reads the store."""
+    names = list(simulation.nodes)[1:]
+    return set(simulation.rng.sample(names, round(share * len(names))))
 
 
 @pytest.mark.parametrize(("node_count", "server_count", "requests_per_s"), SIZES)
@@ -88,12 +100,174 @@
     async def scenario(simulation):
         load = simulation.spawn(simulation.send_load(requests_per_s, 16.0))
         await asyncio.sleep(2.0)
-        limits = [0.0, 1.0, 2.4, 4.1]
-        for server, limit in zip(simulation.servers, limits, strict=False):
-            server.name_limit(limit)
+        name_limits(simulation)
         await load
         assert_limits_kept(simulation)
         # The other servers have room for all requests.
         assert simulation.compute_served_share(0.0) > 0.99
 
     run_simulation(scenario, node_count=node_count, server_count=server_count)
+
+
+async def lose_datagrams(simulation):
+    # With more loss, a large fleet suspects half of its nodes at any time.
+    simulation.loss = 0.3 if len(simulation.nodes) < 100 else 0.1
+    return lambda arrival: False
+
+
+async def delay_news(simulation):
+    """Delay what a third of the nodes send by up to a second."""
+    for name in choose_names(simulation, 0.33):
+        simulation.node_delays_s[name] = simulation.rng.uniform(0.2, 1.0)
+    return lambda arrival: False
+
+
+async def cut_off_nodes(simulation):
+    """Cut a third of the nodes off from the others for some seconds; the limit excuses them."""
+    cut = choose_names(simulation, 0.33)
+    simulation.is_cut = lambda sender, receiver: (sender in cut) != (receiver in cut)
+
+    async def end_cut():
+        await asyncio.sleep(6.0)
+        simulation.is_cut = lambda sender, receiver: False
+
+    simulation.spawn(end_cut())
+    return lambda arrival: arrival.node.name in cut
+
+
+async def cut_off_one_way(simulation):
+    """Lose what some nodes send to some others; it reaches them by way of the rest."""
+    senders = choose_names(simulation, 0.3)
+    receivers = choose_names(simulation, 0.3)
+    simulation.is_cut = lambda sender, receiver: sender in senders and receiver in receivers
+    return lambda arrival: False
+
+
+async def restart_nodes(simulation):
+    """Kill and start nodes one after the other; a limit excuses a node for some time after it."""
+    restarted_at = {}
+
+    async def restart_each():
+        for name in sorted(choose_names(simulation, 0.4)):
+            simulation.nodes[name].kill()
+            await asyncio.sleep(0.5)
+            restarted_at[simulation.start_node(name, knows_state=False).start_id] = get_time()
+            await asyncio.sleep(0.2)
+
+    simulation.spawn(restart_each())
+    return lambda arrival: (
+        arrival.at < restarted_at.get(arrival.node.start_id, float("-inf")) + STABILITY_S
+    )
+
+
+TROUBLES = [lose_datagrams, delay_news, cut_off_nodes, cut_off_one_way, restart_nodes]
+SMALL, MEDIUM, LARGE = SIZES
+long = pytest.mark.long
+
+
+@pytest.mark.parametrize(
+    ("trouble", "size", "seed"),
+    [
+        *[(trouble, SMALL, 1) for trouble in TROUBLES],
+        *[(trouble, MEDIUM, 1) for trouble in TROUBLES[2:]],
+        (cut_off_nodes, LARGE, 1),
+        *[pytest.param(trouble, MEDIUM, 1, marks=long) for trouble in TROUBLES[:2]],
+        *[pytest.param(trouble, LARGE, 2, marks=long) for trouble in TROUBLES],
+        *[
+            pytest.param(trouble, size, seed, marks=long)
+            for trouble in TROUBLES
+            for size in (SMALL, MEDIUM)
+            for seed in (2, 3, 4, 5)
+        ],
+    ],
+)
+def test_limit_is_kept_beside_trouble_between_nodes(trouble, size, seed):
+    node_count, server_count, requests_per_s = size
+
+    async def scenario(simulation):
+        load = simulation.spawn(simulation.send_load(requests_per_s, 18.0))
+        await asyncio.sleep(2.0)
+        name_limits(simulation)
+        await asyncio.sleep(simulation.rng.uniform(0.0, 2.0))
+        is_excused = await trouble(simulation)
+        await load
+        assert_limits_kept(simulation, is_excused)
+        if trouble is not restart_nodes:
+            assert simulation.compute_served_share(0.0) > 0.99
+
+    run_simulation(scenario, seed=seed, node_count=node_count, server_count=server_count)
+
+
+@pytest.mark.parametrize(
+    ("size", "seed"),
+    [
+        (SMALL, 1),
+        (SMALL, 2),
+        (MEDIUM, 1),
+        *[
+            pytest.param(size, seed, marks=long)
+            for size in (SMALL, MEDIUM)
+            for seed in range(3, 9)
+        ],
+    ],
+)
+def test_limit_that_moves_is_followed(size, seed):
+    node_count, server_count, requests_per_s = size
+
+    async def scenario(simulation):
+        load = simulation.spawn(simulation.send_load(requests_per_s, 20.0))
+        await asyncio.sleep(1.0)
+        while not load.done():
+            for server in simulation.servers[:4]:
+                server.name_limit(simulation.rng.choice([0.5, 1.0, 2.0, 4.0, 8.0, 16.0]))
+            await asyncio.sleep(simulation.rng.uniform(1.0, 5.0))
+        assert_limits_kept(simulation)
+
+    run_simulation(scenario, seed=seed, node_count=node_count, server_count=server_count)
+
+
+@pytest.mark.parametrize(("node_count", "server_count", "requests_per_s"), SIZES[:2])
+def test_server_that_withdraws_its_limit_is_used_as_before(
+    node_count, server_count, requests_per_s
+):
+    async def scenario(simulation):
+        load = simulation.spawn(simulation.send_load(requests_per_s, 24.0))
+        await asyncio.sleep(1.0)
+        name_limits(simulation, [1.0, 2.4])
+        await asyncio.sleep(6.0)
+        name_limits(simulation, [None, None])
+        withdrawn_at = get_time()
+        await load
+        assert_limits_kept(simulation)
+        usual = requests_per_s / server_count
+        for server in simulation.servers[:2]:
+            late = [arrival for arrival in server.arrivals if arrival.at > withdrawn_at + 8.0]
+            assert len(late) / 9.0 > 0.4 * usual
+
+    run_simulation(scenario, node_count=node_count, server_count=server_count)
+
+
+@pytest.mark.parametrize(
+    ("node_count", "server_count"), [(6, 6), (30, 20), pytest.param(123, 40, marks=long)]
+)
+def test_limits_of_all_servers_are_used_and_the_rest_is_refused_at_once(node_count, server_count):
+    async def scenario(simulation):
+        limit = 5.0
+        total = limit * server_count
+        name_limits(simulation, [limit] * server_count)
+        await simulation.send_load(1.5 * total, 12.0)
+        assert_limits_kept(simulation)
+        steady = [
+            (status, duration_s)
+            for at, status, duration_s in simulation.responses
+            if 4.0 <= at < 12.0
+        ]
+        served = sum(status == 200 for status, _ in steady)
+        assert served / 8.0 > 0.7 * total
+        assert {status for status, _ in steady} == {200, 503}
+        refused_s = sorted(duration_s for status, duration_s in steady if status == 503)
+        assert refused_s[len(refused_s) // 2] < 0.05
+        # nothing waits beyond its target of 0.5 s
+        assert refused_s[-1] < 0.5
+
+    run_simulation(scenario, node_count=node_count, server_count=server_count)
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -45,6 +45,13 @@
             await deployment.send_request(node, "/safe/1")
 
 
+async def wait_until_limited(deployment, node, name):
+    """Send requests until a server's limit is known."""
+    async with asyncio.timeout(5.0):
+        while node.gateway.request_limits.get(name, 1) is None:
+            await deployment.send_request(node, "/safe/1")
+
+
 @pytest.mark.parametrize(
     ("source", "options"), [("response", WITHOUT_PROBES), ("health-check", NODE_OPTIONS)]
 )
@@ -198,7 +205,7 @@
         for limit in (50.0, 20.0, None):
             deployment.instances["i-1"].behaviour = InstanceBehaviour(request_limit_per_s=limit)
             async with asyncio.timeout(5.0):
-                while dict(node.gateway.request_limits.list_limits()).get("i-1") != limit:
+                while node.gateway.request_limits.get("i-1", 1) != limit:
                     await deployment.send_request(node, "/safe/1")
 
     with logbook.TestHandler() as handler:
@@ -206,3 +213,29 @@
     messages = [record.message for record in handler.records if record.channel == "limits"]
     assert [message for message in messages if "i-1" in message] == messages
     assert len(messages) == 3
+
+
+def test_request_limit_is_kept_by_three_nodes_together():
+    async def scenario(deployment):
+        nodes = await start_nodes(deployment, "i-1", "i-2", node_count=3, options=NODE_OPTIONS)
+        await wait_until(
+            lambda: all(len(node.fleet.membership.list_live()) == 3 for node in nodes),
+            "the nodes are linked",
+        )
+        limited = deployment.instances["i-1"]
+        limited.behaviour = InstanceBehaviour(request_limit_per_s=2.0)
+        await wait_until_limited(deployment, nodes[0], "i-1")
+        await wait_until(
+            lambda: all(node.gateway.request_limits.get("i-1", 1) for node in nodes),
+            "all nodes know the limit",
+        )
+        count_before = len(limited.request_headers)
+        started_at = time.monotonic()
+        while time.monotonic() < started_at + 2.0:
+            responses = await asyncio.gather(
+                *(deployment.send_request(node, "/safe/1") for node in nodes)
+            )
+            assert {status for status, _, _ in responses} == {200}
+        assert len(limited.request_headers) - count_before <= 1.5 * 2.0 * 2.0 + 5
+
+    run_scenario(scenario)
