Log the fingerprint of a request whose outcome is unknown

A line of unknown outcome now has a fingerprint over the caller's address, host, method, path and body; it is equal in repetitions.

--- a/src/jasmineseam/node/proxied_request.py
+++ b/src/jasmineseam/node/proxied_request.py
@@ -5,6 +5,7 @@
 import time
 
 from ..operations.request_log import RequestLogLine
+from ..requests.fingerprint import compute_fingerprint
 from ..requests.protocol import RequestHead
 from ..routing.dispatch import Dispatcher
 from ..routing.routes import Route
@@ -24,7 +25,7 @@
     a server, the reason is appended as the last text. ``elapsed_before_arrival_s`` is the
     estimated time that the caller spent on earlier attempts. ``service_time_s`` is the expected
     service time on a host of normal speed, in seconds. ``table_version`` is the version of
-    the routing table, -1 if none was applied.
+    the routing table, -1 if none was applied. ``caller`` is the IP address of the caller.
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         "attempt_count",
         "attempt_trace",
         "body",
+        "caller",
         "deadline_at",
         "dispatcher",
         "elapsed_before_arrival_s",
@@ -59,9 +61,15 @@
         self.attempt_count = 0
         self.sent = False
         self.body = b""
+        self.caller = ""
         self.attempt_trace: list[str] = []
         self.elapsed_before_arrival_s = 0.0
 
+    def compute_fingerprint(self) -> bytes:
+        """Return the fingerprint by which a repetition of the request is recognized."""
+        host = self.headers.get("Host", "")
+        return compute_fingerprint(self.caller, host, self.method, self.path, self.body)
+
 
 def build_request_log_line(
     proxied: ProxiedRequest, outcome: str, status: int, now: float
@@ -85,6 +93,8 @@
         line.target_ms = round((proxied.target_at - proxied.arrived_at) * 1000)
         line.deadline_ms = round((proxied.deadline_at - proxied.arrived_at) * 1000)
         line.tried_before_ms = round(proxied.elapsed_before_arrival_s * 1000)
+    if outcome.startswith("unknown:"):
+        line.fingerprint = proxied.compute_fingerprint().hex()
     if proxied.dispatcher is not None:
         line.service = proxied.dispatcher.service
     return line
