--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -90,7 +90,8 @@
         # (time, limit) of each change
         self.limit_changes = []
         self.arrivals = []
-        self.crash_times = []
+        # time of each crash and path of the request that caused it, empty for none
+        self.crashes = []
         self.down = False
         self.running = 0
         self._starts = 1
@@ -122,12 +123,12 @@
         )
         return ServerListing(server=server, slots=self.slots, started_ms=self._starts, sequence=1)
 
-    def crash(self):
+    def crash(self, path=""):
         """Break all connections, and start again after a while under a new id."""
         if self.down:
             return
         self.down = True
-        self.crash_times.append(get_time())
+        self.crashes.append((get_time(), path))
         for exchange in list(self._exchanges):
             if not exchange.done():
                 exchange.set_exception(AttemptOutcomeUnknownError("no-response"))
@@ -141,9 +142,10 @@
         self._free_slots = asyncio.Semaphore(self.slots)
         self.running = 0
         self.down = False
-        self._simulation.publish_servers([ServerChange(self.server_id, self.build_listing())])
+        listed = ServerChange(server_id=self.server_id, listing=self.build_listing())
+        self._simulation.publish_servers([listed])
         await asyncio.sleep(LISTING_LAPSE_S - RESTART_S)
-        self._simulation.publish_servers([ServerChange(old_id)])
+        self._simulation.publish_servers([ServerChange(server_id=old_id)])
 
     def record_arrival(self, node, path):
         """Record a request that has arrived."""
@@ -177,7 +179,7 @@
                 work_s = self.work_s * self._simulation.rng.uniform(0.5, 1.5)
                 if self._simulation.crashes_on(path):
                     await asyncio.sleep(0.5 * work_s)
-                    self.crash()
+                    self.crash(path)
                     return
                 await asyncio.sleep(work_s)
             finally:
@@ -562,14 +564,16 @@
         self.responses.append((started_at, status, get_time() - started_at))
         return status, headers
 
-    async def call(self, path=None, *, choose_node=None, attempts=2, deadline_s=1.5):
+    async def call(self, path=None, *, choose_node=None, attempts=2, deadline_s=1.5, **options):
         """Send a request as callers do: one that is refused returns after the time given."""
         started_at = get_time()
         status = 0
         for number in range(attempts):
             remaining_s = started_at + deadline_s - get_time()
             node = choose_node() if choose_node is not None else None
-            status, headers = await self.send_request(path, node=node, deadline_s=remaining_s)
+            status, headers = await self.send_request(
+                path, node=node, deadline_s=remaining_s, **options
+            )
             if status != 503 or number == attempts - 1:
                 break
             remaining_s = started_at + deadline_s - get_time()
@@ -586,6 +590,13 @@
             calls.append(self.spawn(self.call(**options)))
         await asyncio.gather(*calls)
 
+    async def repeat_request(self, path, interval_s, duration_s, **options):
+        """Send the same request again and again, at any node."""
+        ends_at = get_time() + duration_s
+        while get_time() < ends_at:
+            self.spawn(self.send_request(path, **options))
+            await asyncio.sleep(interval_s * self.rng.uniform(0.5, 1.5))
+
     def compute_served_share(self, since, until=float("inf")):
         """Return the fraction of the calls begun in a time that were served."""
         statuses = [status for at, status, _ in self.outcomes if since <= at < until]
