Refuse a request that has crashed three servers, at all nodes

Cause: each node judged a broken connection by itself and forgot it with the request; the next repetition was news to every node. Class of fault: what holds for the whole fleet, kept by each node alone.

Change: after a connection breaks under a request, the node checks whether the server refuses connections. If so, it reports the crash with the request's fingerprint (caller's address, host, method, path, body) to all nodes; a hash in each message shows what is missing. Three crashes quarantine the request: 503 at once, with the end of the quarantine as Retry-After. A response of a server clears all earlier crashes, so a normal request that ran beside a crash is not refused. The quarantine lasts 120 s; then one node, chosen by hash, sends one attempt to one server, and a further crash doubles the time.

--- a/src/jasmineseam/fleet/outbox.py
+++ b/src/jasmineseam/fleet/outbox.py
@@ -8,17 +8,19 @@
 from ..membership.registry import Departure
 from ..membership.request_limits import RequestLimit
 from ..peers.messages import ServersNotice
+from ..routing.quarantine import CrashReport
 
 # Parts of one update, so that it fits into a datagram.
 MAX_NODES_PER_UPDATE = 8
 MAX_DEPARTURES_PER_UPDATE = 15
 MAX_LIMITS_PER_UPDATE = 15
+MAX_CRASHES_PER_UPDATE = 10
 
 
 class Outbox:
     """News to be sent, which is divided into parts that fit into datagrams."""
 
-    __slots__ = ("_departures", "_limits", "_nodes", "_servers", "_suspected")
+    __slots__ = ("_crashes", "_departures", "_limits", "_nodes", "_servers", "_suspected")
 
     def __init__(self) -> None:
         self._nodes: dict[str, NodeInfo] = {}
@@ -26,6 +28,7 @@
         self._departures: dict[str, Departure] = {}
         self._servers: list[ServersNotice] = []
         self._limits: dict[str, RequestLimit] = {}
+        self._crashes: list[CrashReport] = []
 
     def add(
         self,
@@ -34,12 +37,14 @@
         departures: t.Iterable[Departure],
         servers: ServersNotice | None,
         request_limits: t.Iterable[RequestLimit] = (),
+        crashes: t.Iterable[CrashReport] = (),
     ) -> None:
         """Add news; an older state of the same node is replaced."""
         self._nodes.update((info.vm_id, info) for info in nodes)
         self._suspected.update(suspected)
         self._departures.update((departure.server_id, departure) for departure in departures)
         self._limits.update((limit.server_id, limit) for limit in request_limits)
+        self._crashes.extend(crashes)
         if servers is not None:
             self._servers.append(servers)
 
@@ -50,7 +55,9 @@
         departures = list(self._departures.values())
         servers = self._servers
         limits = list(self._limits.values())
+        crashes = self._crashes
         self._limits = {}
+        self._crashes = []
         self._nodes = {}
         self._suspected = {}
         self._departures = {}
@@ -63,5 +70,7 @@
             yield {"departures": departures[start : start + MAX_DEPARTURES_PER_UPDATE]}
         for start in range(0, len(limits), MAX_LIMITS_PER_UPDATE):
             yield {"request_limits": limits[start : start + MAX_LIMITS_PER_UPDATE]}
+        for start in range(0, len(crashes), MAX_CRASHES_PER_UPDATE):
+            yield {"crashes": crashes[start : start + MAX_CRASHES_PER_UPDATE]}
         for notice in servers:
             yield {"servers": notice}
--- a/src/jasmineseam/fleet/spreading.py
+++ b/src/jasmineseam/fleet/spreading.py
@@ -31,6 +31,7 @@
 from ..peers.messages import ServersNotice
 from ..peers.messages import StateDigest
 from ..peers.messages import Update
+from ..routing.quarantine import CrashReport
 from .failure_detection import FailureDetector
 from .outbox import Outbox
 
@@ -56,6 +57,7 @@
     :param on_digest: called with the state and the summary of another node.
     :param add_departures: called with departures of servers; returns the new ones.
     :param add_request_limits: called with limits that servers name; returns the new ones.
+    :param add_crashes: called with crashes of servers under requests; returns the new ones.
     :param apply_servers: called with changes of the server list; returns whether they were new.
     :param on_nodes_changed: called when a node's state or status has changed.
     """
@@ -64,6 +66,7 @@
     on_digest: t.Callable[[NodeInfo, StateDigest], None] = lambda sender, digest: None
     add_departures: t.Callable[[list[Departure]], list[Departure]] = lambda departures: []
     add_request_limits: t.Callable[[list[RequestLimit]], list[RequestLimit]] = lambda limits: []
+    add_crashes: t.Callable[[list[CrashReport]], list[CrashReport]] = lambda crashes: []
     apply_servers: t.Callable[[ServersNotice], bool] = lambda notice: False
     on_nodes_changed: t.Callable[[], None] = lambda: None
 
@@ -149,13 +152,14 @@
         departures: t.Iterable[Departure] = (),
         servers: ServersNotice | None = None,
         request_limits: t.Iterable[RequestLimit] = (),
+        crashes: t.Iterable[CrashReport] = (),
         urgent: bool = False,
     ) -> None:
         """Send news to a few nodes, which forward it.
 
         :param urgent: whether to send at once, and to twice as many nodes.
         """
-        self._outbox.add(nodes, suspected, departures, servers, request_limits)
+        self._outbox.add(nodes, suspected, departures, servers, request_limits, crashes)
         if urgent:
             self._flush(2 * FANOUT)
             return
@@ -233,16 +237,19 @@
             new_nodes.append(self.membership.own)
         new_departures = self._handlers.add_departures(message.departures)
         new_limits = self._handlers.add_request_limits(message.request_limits)
+        new_crashes = self._handlers.add_crashes(message.crashes)
         servers = message.servers
         if servers is not None and not self._handlers.apply_servers(servers):
             servers = None
-        if new_nodes or new_suspicions or new_departures or new_limits or servers is not None:
+        news = (new_nodes, new_suspicions, new_departures, new_limits, new_crashes)
+        if any(news) or servers is not None:
             self.publish(
                 nodes=new_nodes,
                 suspected=new_suspicions,
                 departures=new_departures,
                 servers=servers,
                 request_limits=new_limits,
+                crashes=new_crashes,
             )
 
     def _compare(self, sender: NodeInfo, digest: StateDigest) -> None:
--- a/src/jasmineseam/fleet/state_sync.py
+++ b/src/jasmineseam/fleet/state_sync.py
@@ -27,13 +27,16 @@
 from ..peers.messages import StateReply
 from ..peers.messages import StateRequest
 from ..peers.rpc import PeerClients
+from ..routing.quarantine import CrashQuarantine
+from ..routing.quarantine import CrashReport
 from ..routing.routes import RoutingTable
 
 REQUEST_TIMEOUT_S = 0.5
 # News of the server list that arrives out of order is complete within this time.
 REORDERING_TIME_S = 0.03
 RETRY_DELAY_S = 0.05
-# Interval between two requests only because of departures or limits that may be missing.
+# Interval between two requests only because of departures, limits or crashes that may be
+# missing.
 NOTICES_REQUEST_INTERVAL_S = 1.0
 # A connection to a node is closed if it was not used for this time.
 IDLE_CONNECTION_S = 5.0
@@ -102,10 +105,12 @@
 
     :param registry: the server list of this node.
     :param request_limits: the limits that servers name.
+    :param quarantine: the requests that ran on servers that crashed.
     :param peer_clients: connections for requests to other nodes.
     :param get_table: returns the routing table of this node, ``None`` if it has none.
     :param apply_table: applies a routing table from the node with the given VM id.
     :param add_request_limits: applies limits that servers name.
+    :param add_crashes: applies reports of crashes.
     """
 
     def __init__(
@@ -113,14 +118,18 @@
         *,
         registry: ServerRegistry,
         request_limits: RequestLimits,
+        quarantine: CrashQuarantine,
         peer_clients: PeerClients,
         get_table: t.Callable[[], RoutingTable | None],
         apply_table: t.Callable[[RoutingTable, str], bool],
         add_request_limits: t.Callable[[list[RequestLimit]], t.Any],
+        add_crashes: t.Callable[[list[CrashReport]], t.Any],
     ) -> None:
         self._registry = registry
         self._request_limits = request_limits
         self._add_request_limits = add_request_limits
+        self._quarantine = quarantine
+        self._add_crashes = add_crashes
         self._peer_clients = peer_clients
         self._get_table = get_table
         self._apply_table = apply_table
@@ -145,6 +154,7 @@
             servers_age_ms=age_ms if registry.loaded else -1,
             leaving_hash=registry.compute_leaving_hash(),
             limits_hash=self._request_limits.compute_hash(),
+            crashes_hash=self._quarantine.compute_hash(),
         )
 
     def handle_digest(self, sender: NodeInfo, digest: StateDigest) -> None:
@@ -179,6 +189,7 @@
         reply.servers_age_s = registry.get_list_age_s()
         reply.departures = registry.list_departures()
         reply.request_limits = self._request_limits.list_limits()
+        reply.crashes = self._quarantine.list_reports()
         return reply
 
     def apply_notice(self, notice: ServersNotice) -> bool:
@@ -221,12 +232,13 @@
             return False
         if digest.servers_position > registry.position:
             return True
-        # Either node may lack departures or limits; both request them, but not often.
+        # Either node may lack departures, limits or crashes; both request them, but not often.
         return (
             digest.servers_position == registry.position
             and (
                 digest.leaving_hash != registry.compute_leaving_hash()
                 or digest.limits_hash != self._request_limits.compute_hash()
+                or digest.crashes_hash != self._quarantine.compute_hash()
             )
             and time.monotonic() - self._notices_requested_at > NOTICES_REQUEST_INTERVAL_S
         )
@@ -260,7 +272,6 @@
             self._apply_table(decompress_table(reply.table), source.vm_id)
         for departure in reply.departures:
             self._registry.add_departure(departure)
-        self._add_request_limits(reply.request_limits)
         if reply.listings is not None:
             self._registry.replace_listings(reply.listings, reply.servers_position)
             _logger.info(
@@ -270,3 +281,13 @@
             self.apply_notice(reply.servers)
         if reply.servers_position == self._registry.position:
             self._registry.mark_confirmed(reply.servers_age_s, detect_outage=False)
+        # A limit of a server that is not listed would be forgotten by each node in turn, and
+        # returned by the others.
+        self._add_request_limits(
+            [
+                limit
+                for limit in reply.request_limits
+                if self._registry.get_server(limit.server_id) is not None
+            ]
+        )
+        self._add_crashes(reply.crashes)
--- a/src/jasmineseam/membership/request_limits.py
+++ b/src/jasmineseam/membership/request_limits.py
@@ -21,6 +21,8 @@
 MIN_RAISE_DELAY_S = 0.5
 # A withdrawn limit is remembered for this time, so that older news doesn't restore it.
 WITHDRAWN_RETENTION_S = 120.0
+# The limit of a server that is not listed is kept for this time, since it may be listed again.
+UNLISTED_RETENTION_S = 30.0
 # Versions count changes and stay far below this. A higher one is malformed.
 MAX_VERSION = 2**53
 
@@ -54,14 +56,16 @@
 class _KnownLimit:
     """A limit with the circumstances of its last observation.
 
-    :param changed_at: time of the last change, on the clock of the limits.
+    :param now: current time, on the clock of the limits.
     """
 
-    __slots__ = ("changed_at", "confirmed_at", "limit", "named_by_probe")
+    __slots__ = ("changed_at", "confirmed_at", "limit", "listed_at", "named_by_probe")
 
     def __init__(self, limit: RequestLimit, now: float) -> None:
         self.limit = limit
         self.changed_at = now
+        # time at which the server was last listed
+        self.listed_at = now
         # time at which a response or news last named the limit
         self.confirmed_at = now
         # whether responses to probes name the limit, too
@@ -177,16 +181,15 @@
         return combined
 
     def expire(self, listed_ids: t.Container[str]) -> None:
-        """Forget servers that are not listed, and limits that were withdrawn long ago.
-
-        Those that have changed lately are kept, since a server may be listed late.
-        """
+        """Forget servers that are not listed any more, and limits that were withdrawn long ago."""
         now = self._clock()
         for server_id, known in list(self._known.items()):
-            in_force = known.limit.requests_per_s is not None
-            if in_force and server_id in listed_ids:
-                continue
-            if now - known.changed_at >= WITHDRAWN_RETENTION_S:
+            if server_id in listed_ids:
+                known.listed_at = now
+            withdrawn = known.limit.requests_per_s is None
+            if now - known.listed_at >= UNLISTED_RETENTION_S or (
+                withdrawn and now - known.changed_at >= WITHDRAWN_RETENTION_S
+            ):
                 del self._known[server_id]
                 self._hash = None
 
--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -20,8 +20,11 @@
 from ..routing.dispatch import Dispatcher
 from ..routing.dispatch import PlacementRequest
 from ..routing.load import ServerLoad
+from ..routing.quarantine import Admission
+from ..routing.quarantine import CrashQuarantine
 from ..routing.window_retry_budget import SlidingWindowRetryBudget
 from ..transport.connection_pool import ConnectionPool
+from .crash_reports import CrashDetector
 from .dispatchers import Dispatchers
 from .proxied_request import ProxiedRequest
 from .server_client import MIN_SERVER_ERROR_STATUS
@@ -75,6 +78,13 @@
             registry=registry,
             record_report=dispatchers.record_report,
             record_server_state=record_server_state,
+            on_connection_broken=lambda proxied, load: self.crash_detector.start_check(
+                proxied, load
+            ),
+        )
+        self.quarantine = CrashQuarantine(clock=time.monotonic)
+        self.crash_detector = CrashDetector(
+            quarantine=self.quarantine, get_connections=lambda: self.connections
         )
         # Obtains fresh load reports before a request is placed.
         self.refresh_loads: t.Callable[[Dispatcher, PlacementRequest], t.Awaitable[None]] = (
@@ -126,9 +136,10 @@
         """
         route = proxied.route
         connect_failures = 0
+        max_attempts = route.max_attempts
         last_result: ServerResponse | AttemptError | None = None
         while (
-            proxied.attempt_count < route.max_attempts
+            proxied.attempt_count < max_attempts
             and connect_failures < MAX_CONNECT_FAILURES_PER_REQUEST
         ):
             if proxied.attempt_count > 0 and not (
@@ -136,6 +147,8 @@
             ):
                 break
             try:
+                if self._check_quarantine(proxied).trial:
+                    max_attempts = 1
                 placement_request = self._build_placement_request(proxied)
                 await self.refresh_loads(proxied.dispatcher, placement_request)
                 load = await proxied.dispatcher.place(placement_request)
@@ -159,12 +172,24 @@
                 last_result = error
                 if not route.idempotent:
                     break
+                await self.crash_detector.wait_for_checks(proxied)
                 continue
+            self.crash_detector.record_response(proxied, response)
             if response.status < MIN_SERVER_ERROR_STATUS or not route.idempotent:
                 return response
             last_result = response
         return self._return_or_raise_last_result(proxied, last_result)
 
+    def _check_quarantine(self, proxied: ProxiedRequest) -> Admission:
+        """Return how the request may be sent.
+
+        :raises NotRunError: if the request is quarantined.
+        """
+        admission = self.crash_detector.admit(proxied)
+        if admission.retry_after_s is not None:
+            raise NotRunError("quarantined", 503, admission.retry_after_s)
+        return admission
+
     def _has_time_for_attempt(self, proxied: ProxiedRequest) -> bool:
         """Return whether another attempt could finish before the deadline."""
         return (
@@ -223,6 +248,8 @@
             hedge_server = dispatcher.choose_hedge_server(
                 proxied.excluded_server_ids, proxied.service_time_s, time_to_target_s
             )
+            if self.crash_detector.is_suspected(proxied):
+                raise AttemptNotRunError("no-hedge")
             if hedge_server is None or not budget.take_attempt(HEDGE_RESERVED_BUDGET_FRACTION):
                 raise AttemptNotRunError("no-hedge")
             hedge_server.take_token(time.monotonic())
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -40,6 +40,9 @@
 from ..peers.messages import ServersNotice
 from ..peers.messages import StateRequest
 from ..requests.protocol import HeaderCodec
+from ..routing.quarantine import CRASH_THRESHOLD
+from ..routing.quarantine import CrashReport
+from ..routing.quarantine import choose_node
 from ..routing.request_shares import ShareCandidate
 from ..routing.routes import RoutingTable
 from .endpoints import EndpointConfig
@@ -58,6 +61,7 @@
 # Running requests may finish until this fraction of the grace period has passed.
 DRAINING_GRACE_FRACTION = 0.94
 _limits_logger = logbook.Logger("limits")
+_quarantine_logger = logbook.Logger("quarantine")
 
 
 class Node(Daemon):
@@ -120,14 +124,19 @@
             caller_round_trip_s=options.caller_round_trip_s,
         )
         self.gateway.dispatchers.list_share_candidates = self._list_share_candidates
+        crash_detector = self.gateway.attempts.crash_detector
+        crash_detector.publish = lambda reports: self.fleet.publish(crashes=reports, urgent=True)
+        crash_detector.may_try = self._sends_trial
         self.datagrams = DatagramEndpoint(handler=self._handle_datagram)
         self.state_sync = StateSynchronizer(
             registry=self.registry,
             request_limits=self.gateway.request_limits,
+            quarantine=self.gateway.attempts.quarantine,
             peer_clients=self.peer_clients,
             get_table=lambda: self.gateway.routing_table,
             apply_table=self._apply_routing_table,
             add_request_limits=self._add_request_limits,
+            add_crashes=self._add_crashes,
         )
         self.fleet = Fleet(
             own=NodeInfo(
@@ -145,6 +154,7 @@
                 on_digest=self.state_sync.handle_digest,
                 add_departures=self._add_departures,
                 add_request_limits=self._add_request_limits,
+                add_crashes=self._add_crashes,
                 apply_servers=self.state_sync.apply_notice,
                 on_nodes_changed=self._apply_node_count,
             ),
@@ -284,6 +294,7 @@
             "servers_age_s": round(self.registry.get_list_age_s(), 3),
             "in_flight": self.gateway.in_flight,
             "request_shares": dict(self.gateway.dispatchers.list_request_shares()),
+            "quarantined": self.gateway.attempts.quarantine.count_quarantined(),
             "task_restarts": dict(self.task_restarts),
             "outcomes": dict(self.gateway.outcome_counts),
             "nodes": self.fleet.membership.list_statuses(),
@@ -383,6 +394,25 @@
             shares.get(limit.server_id, 0.0),
         )
 
+    def _add_crashes(self, reports: list[CrashReport]) -> list[CrashReport]:
+        quarantine = self.gateway.attempts.quarantine
+        new = [report for report in reports if quarantine.apply(report)]
+        for fingerprint in {report.fingerprint for report in new}:
+            if quarantine.count_crashes(fingerprint) >= CRASH_THRESHOLD:
+                _quarantine_logger.warning(
+                    "Request with fingerprint {} has crashed {} servers, according to other "
+                    "nodes; it is refused.",
+                    fingerprint.hex(),
+                    quarantine.count_crashes(fingerprint),
+                )
+        return new
+
+    def _sends_trial(self, fingerprint: bytes) -> bool:
+        """Return whether this node sends the trial of a request after its quarantine."""
+        return self.settings.vm.id == choose_node(
+            fingerprint, [node.vm_id for node in self._list_share_candidates()]
+        )
+
     def _apply_node_count(self) -> None:
         """Adapt shared limits and the subsets of servers to the number of nodes."""
         membership = self.fleet.membership
@@ -429,6 +459,7 @@
             self.state_sync.close_idle_connections()
             self.gateway.dispatchers.expire_borrowed()
             self.gateway.request_limits.expire(self.registry.list_ids())
+            self.gateway.attempts.quarantine.expire()
             addresses = {listing.server.address for listing in self.registry.list_listings()}
             self.gateway.connections.expire_connections(addresses)
             self._listeners.enforce_limits(self.gateway.caller_limits)
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -68,6 +68,12 @@
             for server_id, requests_per_s in gateway.dispatchers.list_request_shares()
         ]
 
+    def read_quarantined():
+        return [(gateway.attempts.quarantine.count_quarantined(), {})]
+
+    def read_crashes():
+        return [(gateway.attempts.quarantine.crash_count, {})]
+
     gateway.record_duration = add_histogram(
         provider, "request.duration", "s", "Time to the answer.", REQUEST_DURATION_BUCKET_BOUNDS_S
     )
@@ -87,4 +93,6 @@
         "Part of the limit that this node may use.",
         read_request_shares,
     )
+    add_gauge(provider, "requests.quarantined", "1", "They crash servers.", read_quarantined)
+    add_counter(provider, "crashes", "1", "Of servers under requests of this node.", read_crashes)
     add_gauge(provider, "servers.age", "s", "Age of the list of servers.", read_server_list_age)
--- a/src/jasmineseam/node/proxied_request.py
+++ b/src/jasmineseam/node/proxied_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 
 from ..operations.request_log import RequestLogLine
@@ -26,6 +27,7 @@
     estimated time that the caller spent on earlier attempts. ``service_time_s`` is the expected
     service time on a host of normal speed, in seconds. ``table_version`` is the version of
     the routing table, -1 if none was applied. ``caller`` is the IP address of the caller.
+    ``crash_checks`` holds the checks of servers whose connection broke under the request.
     """
 
     __slots__ = (
@@ -34,10 +36,12 @@
         "attempt_trace",
         "body",
         "caller",
+        "crash_checks",
         "deadline_at",
         "dispatcher",
         "elapsed_before_arrival_s",
         "excluded_server_ids",
+        "fingerprint",
         "head",
         "headers",
         "method",
@@ -62,13 +66,19 @@
         self.sent = False
         self.body = b""
         self.caller = ""
+        self.crash_checks: list[asyncio.Task] = []
+        self.fingerprint = b""
         self.attempt_trace: list[str] = []
         self.elapsed_before_arrival_s = 0.0
 
-    def compute_fingerprint(self) -> bytes:
+    def get_fingerprint(self) -> bytes:
         """Return the fingerprint by which a repetition of the request is recognized."""
-        host = self.headers.get("Host", "")
-        return compute_fingerprint(self.caller, host, self.method, self.path, self.body)
+        if not self.fingerprint:
+            host = self.headers.get("Host", "")
+            self.fingerprint = compute_fingerprint(
+                self.caller, host, self.method, self.path, self.body
+            )
+        return self.fingerprint
 
 
 def build_request_log_line(
@@ -94,7 +104,7 @@
         line.deadline_ms = round((proxied.deadline_at - proxied.arrived_at) * 1000)
         line.tried_before_ms = round(proxied.elapsed_before_arrival_s * 1000)
     if outcome.startswith("unknown:"):
-        line.fingerprint = proxied.compute_fingerprint().hex()
+        line.fingerprint = proxied.get_fingerprint().hex()
     if proxied.dispatcher is not None:
         line.service = proxied.dispatcher.service
     return line
--- a/src/jasmineseam/node/server_client.py
+++ b/src/jasmineseam/node/server_client.py
@@ -33,6 +33,8 @@
 RESPONSE_MARGIN_S = 0.005
 MIN_SERVER_ERROR_STATUS = 500
 UNAVAILABLE_STATUS = 503
+# errors of attempts that end with a broken connection
+BROKEN_CONNECTION_REASONS = frozenset({"no-response", "connection-broke", "response-cut"})
 
 
 class ServerClient:
@@ -44,6 +46,8 @@
     :param record_report: stores a load report.
     :param record_server_state: called with the load state of a server, the head of its response
         and the time at which the request was sent.
+    :param on_connection_broken: called with a request and the load state of its server if the
+        connection broke before the end of the response.
     """
 
     def __init__(
@@ -53,11 +57,13 @@
         registry: ServerRegistry,
         record_report: t.Callable[..., bool],
         record_server_state: t.Callable[[ServerLoad, ResponseHead, float], None],
+        on_connection_broken: t.Callable[[ProxiedRequest, ServerLoad], None],
     ) -> None:
         self._header_codec = header_codec
         self._registry = registry
         self._record_report = record_report
         self._record_server_state = record_server_state
+        self._on_connection_broken = on_connection_broken
         self._response_memory = ResponseMemory(max_bytes=MAX_BUFFERED_BYTES)
         self.connections = ConnectionPool()
 
@@ -89,6 +95,8 @@
         except AttemptError as error:
             result = error.reason
             self._record_failure(load, error)
+            if error.reason in BROKEN_CONNECTION_REASONS:
+                self._on_connection_broken(proxied, load)
             raise
         except asyncio.CancelledError:
             if time.monotonic() >= proxied.deadline_at:
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -26,6 +26,7 @@
 from ..membership.vms import VmInfo
 from ..requests.ledger import LedgerSnapshot
 from ..requests.outcome import CallerResponse
+from ..routing.quarantine import CrashReport
 
 PROTOCOL_VERSION = 1
 
@@ -217,6 +218,7 @@
         milliseconds; -1 if the node has no list.
     :param leaving_hash: hash over the listed servers that have reported their departure.
     :param limits_hash: hash over the limits that servers name.
+    :param crashes_hash: hash over the crashes of servers under requests.
     """
 
     nodes_hash: int
@@ -225,6 +227,7 @@
     servers_age_ms: t.Annotated[int, msgspec.Meta(ge=-1, le=2**31)]
     leaving_hash: int = 0
     limits_hash: int = 0
+    crashes_hash: int = 0
 
 
 class FleetMessage(Message):
@@ -298,6 +301,7 @@
     :param suspected: VM ids and versions of nodes that are suspected of having failed.
     :param departures: servers that are leaving, according to their own responses.
     :param request_limits: limits that servers have named, moved or withdrawn.
+    :param crashes: crashes of servers under requests.
     """
 
     nodes: list[NodeInfo] = []
@@ -305,6 +309,7 @@
     departures: list[Departure] = []
     servers: ServersNotice | None = None
     request_limits: list[RequestLimit] = []
+    crashes: list[CrashReport] = []
 
 
 class StateRequest(Message, tag="state-request"):
@@ -329,6 +334,7 @@
     :param servers_age_s: time since a read of the store confirmed the list, in seconds.
     :param departures: servers that have left or are leaving.
     :param request_limits: limits that servers name or have withdrawn lately.
+    :param crashes: crashes of servers under requests.
     """
 
     table: bytes = b""
@@ -338,6 +344,7 @@
     servers_age_s: t.Annotated[float, msgspec.Meta(ge=0.0)] = float("inf")
     departures: list[Departure] = []
     request_limits: list[RequestLimit] = []
+    crashes: list[CrashReport] = []
 
 
 class DumpRequest(Message, tag="dump-request"):
--- a/src/jasmineseam/transport/connection_pool.py
+++ b/src/jasmineseam/transport/connection_pool.py
@@ -4,6 +4,7 @@
 
 import time
 
+from ..exceptions import AttemptNotRunError
 from .server_connection import ServerConnection
 from .server_connection import open_connection
 
@@ -46,6 +47,20 @@
         self.opened_count += 1
         return connection
 
+    async def is_refused(self, address: str) -> bool:
+        """Return whether a server refuses connections, as after the end of its process.
+
+        No connection is opened if an idle one to the server is still open.
+        """
+        if any(connection.is_reusable for connection in self._idle.get(address, ())):
+            return False
+        try:
+            connection = await open_connection(address, self._connect_timeout_s)
+        except AttemptNotRunError as error:
+            return isinstance(error.__cause__, ConnectionError)
+        connection.close()
+        return False
+
     def release(self, address: str, connection: ServerConnection) -> None:
         """Return a connection to the pool.
 
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -31,6 +31,7 @@
     :param leaving: whether all responses report that the instance is leaving.
     :param retry_after_s: a request is rejected with this Retry-After time in seconds, unless it
         is 0.
+    :param crash_path: a request with this path crashes the instance that runs it; empty for none.
     :param request_limit_per_s: all responses name this limit on requests from all nodes, unless
         it is ``None``.
     :param endless_pause_s: pause between two bytes of an ``endless-*`` fault, in seconds; 0 to
@@ -66,6 +67,7 @@
     raw_response: bytes = b""
     leaving: bool = False
     retry_after_s: float = 0.0
+    crash_path: str = ""
     request_limit_per_s: float | None = None
     endless_pause_s: float = 0.0
 
@@ -130,6 +132,10 @@
         self.reset_connections()
         self._server = None
 
+    def is_stopped(self) -> bool:
+        """Return whether the instance does not listen."""
+        return self._server is None
+
     def reset_connections(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
@@ -210,7 +216,12 @@
                 self._build_response(503, ["Jasmineseam-Not-Executed: 1"], b"", signed=False)
             )
             return True
-        return await self._run_request(reader, writer, headers.get("jasmineseam-request-id", ""))
+        request_id = headers.get("jasmineseam-request-id", "")
+        if path == self.behaviour.crash_path:
+            self.run_counts[request_id] += 1
+            await self.stop()
+            return False
+        return await self._run_request(reader, writer, request_id)
 
     async def _run_request(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: str
--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -254,6 +254,11 @@
             raise AttemptNotRunError("connect")
         return _Connection(node=self._node, server=server)
 
+    async def is_refused(self, address):
+        server = self._node.simulation.servers_by_address[address]
+        await self._node.simulation.travel(self._node, server)
+        return server.down
+
     def release(self, address, connection):
         pass
 
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -3,8 +3,19 @@
 The simulations check from the servers' side how often such a request arrives.
 """
 
+import asyncio
+
 import pytest
 
+from jasmineseam.routing.quarantine import ADMITTED
+from jasmineseam.routing.quarantine import MAX_SUSPECTS
+from jasmineseam.routing.quarantine import QUARANTINE_S
+from jasmineseam.routing.quarantine import TRIAL_INTERVAL_S
+from jasmineseam.routing.quarantine import CrashQuarantine
+from standins.instance import InstanceBehaviour
+from tests.deployment import run_scenario
+from tests.deployment import wait_until
+from tests.node_simulation import get_time
 from tests.node_simulation import run_simulation
 
 # A request that has crashed CRASH_LIMIT servers may reach others MAX_RETRIES times from
@@ -53,3 +64,241 @@
         assert simulation.compute_served_share(3.0) > 0.98
 
     run_simulation(scenario, node_count=node_count, server_count=server_count)
+
+
+async def lose_datagrams(simulation):
+    simulation.loss = 0.3 if len(simulation.nodes) < 100 else 0.1
+    return lambda arrival: False
+
+
+async def delay_news(simulation):
+    """Delay what a third of the nodes send by up to a second."""
+    for name in list(simulation.nodes)[1::3]:
+        simulation.node_delays_s[name] = simulation.rng.uniform(0.2, 1.0)
+    return lambda arrival: False
+
+
+async def cut_off_nodes(simulation):
+    """Cut a third of the nodes off from the others for some seconds; they don't count."""
+    cut = set(list(simulation.nodes)[1::3])
+    simulation.is_cut = lambda sender, receiver: (sender in cut) != (receiver in cut)
+
+    async def end_cut():
+        await asyncio.sleep(5.0)
+        simulation.is_cut = lambda sender, receiver: False
+
+    simulation.spawn(end_cut())
+    return lambda arrival: arrival.node.name in cut
+
+
+async def restart_nodes(simulation):
+    """Kill and start nodes one after the other; for some time after that they don't count."""
+    restarted_at = {}
+
+    async def restart_each():
+        for name in list(simulation.nodes)[1::3]:
+            simulation.nodes[name].kill()
+            await asyncio.sleep(0.5)
+            restarted_at[simulation.start_node(name, knows_state=False).start_id] = get_time()
+            await asyncio.sleep(0.2)
+
+    simulation.spawn(restart_each())
+    return lambda arrival: (
+        arrival.at < restarted_at.get(arrival.node.start_id, float("-inf")) + STABILITY_S
+    )
+
+
+TROUBLES = [lose_datagrams, delay_news, cut_off_nodes, restart_nodes]
+long = pytest.mark.long
+
+
+@pytest.mark.parametrize(
+    ("trouble", "size", "seed"),
+    [
+        *[(trouble, SMALL, 1) for trouble in TROUBLES],
+        *[(trouble, MEDIUM, 1) for trouble in TROUBLES[2:]],
+        *[pytest.param(trouble, MEDIUM, 1, marks=long) for trouble in TROUBLES[:2]],
+        *[pytest.param(trouble, LARGE, 1, marks=long) for trouble in TROUBLES],
+        *[
+            pytest.param(trouble, size, seed, marks=long)
+            for trouble in TROUBLES
+            for size in (SMALL, MEDIUM)
+            for seed in (2, 3, 4, 5)
+        ],
+    ],
+)
+def test_crashing_request_is_refused_beside_trouble_between_nodes(trouble, size, seed):
+    node_count, server_count, requests_per_s = size
+
+    async def scenario(simulation):
+        paths = ["/safe/poison", "/order/poison"]
+        simulation.crashes_on = paths.__contains__
+        load = simulation.spawn(simulation.send_load(requests_per_s, 12.0))
+        repeated = [
+            simulation.spawn(simulation.repeat_request(path, interval_s, 11.0))
+            for path, interval_s in zip(paths, (0.1, 0.4), strict=True)
+        ]
+        await asyncio.sleep(simulation.rng.uniform(0.0, 1.0))
+        is_excused = await trouble(simulation)
+        await asyncio.gather(load, *repeated)
+        for path in paths:
+            assert count_late_arrivals(simulation, path, is_excused) <= MAX_RETRIES
+
+    run_simulation(scenario, seed=seed, node_count=node_count, server_count=server_count)
+
+
+@pytest.mark.parametrize(
+    ("path", "size"),
+    [("/safe/popular", SMALL), ("/order/popular", SMALL), ("/safe/popular", MEDIUM)],
+)
+def test_normal_request_that_runs_beside_crashes_is_not_refused(path, size):
+    node_count, server_count, requests_per_s = size
+
+    async def scenario(simulation):
+        async def crash_servers():
+            while True:
+                await asyncio.sleep(0.5)
+                simulation.rng.choice(simulation.servers).crash()
+
+        simulation.spawn(crash_servers())
+        load = simulation.spawn(simulation.send_load(requests_per_s, 12.0))
+        await simulation.repeat_request(path, 0.02, 12.0)
+        await load
+        for simulated in simulation.nodes.values():
+            assert simulated.node.gateway.outcome_counts["not-run:quarantined"] == 0
+        assert count_crashes(simulation) > 15
+
+    run_simulation(scenario, node_count=node_count, server_count=server_count)
+
+
+@pytest.mark.parametrize("still_crashes", [True, False])
+def test_one_node_tries_a_request_after_its_quarantine(still_crashes):
+    path = "/safe/poison"
+
+    async def scenario(simulation):
+        simulation.crashes_on = lambda sent: sent == path
+        repeated = simulation.spawn(simulation.repeat_request(path, 0.5, QUARANTINE_S + 60.0))
+        await asyncio.sleep(QUARANTINE_S - 10.0)
+        known = [arrival for server in simulation.servers for arrival in server.arrivals]
+        if not still_crashes:
+            simulation.crashes_on = lambda sent: False
+        await repeated
+        later = [
+            arrival
+            for server in simulation.servers
+            for arrival in server.arrivals
+            if arrival not in known
+        ]
+        if still_crashes:
+            assert len(later) == 1
+        else:
+            assert later[0].at > QUARANTINE_S
+            assert len(later) > 20
+
+    run_simulation(scenario, node_count=6, server_count=6)
+
+
+def test_real_nodes_refuse_a_request_that_has_crashed_three_servers():
+    async def scenario(deployment):
+        deployment.write_configuration()
+        for number in range(6):
+            instance = await deployment.add_instance(f"i-{number}")
+            instance.behaviour = InstanceBehaviour(crash_path="/safe/poison")
+        nodes = [await deployment.add_node(f"vm-{number}") for number in range(2)]
+        await wait_until(
+            lambda: all(len(node.fleet.membership.list_live()) == 2 for node in nodes),
+            "the nodes are linked",
+        )
+        first = [(await deployment.send_request(nodes[0], "/safe/poison"))[0] for _ in range(2)]
+        assert first[0] == 502
+        for node in nodes:
+            await wait_until(
+                lambda node=node: node.gateway.attempts.quarantine.count_quarantined(),
+                "the request is quarantined",
+                2.0,
+            )
+            status, headers, _ = await deployment.send_request(node, "/safe/poison")
+            assert status == 503
+            assert 100.0 < float(headers["Retry-After"]) <= QUARANTINE_S
+            assert (await deployment.send_request(node, "/safe/other"))[0] == 200
+        crashed = [instance for instance in deployment.instances.values() if instance.is_stopped()]
+        assert 3 <= len(crashed) <= 4
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("fault", ["lost", "reset", "cut"])
+def test_lost_response_of_a_living_server_is_no_crash(fault):
+    async def scenario(deployment):
+        deployment.write_configuration()
+        instance = await deployment.add_instance("i-1")
+        node = await deployment.add_node("vm-1")
+        for _ in range(4):
+            instance.behaviour = InstanceBehaviour(fault=fault, fault_count=1)
+            status, _, _ = await deployment.send_request(node, "/order/1", method="POST")
+            assert status == 502
+        await asyncio.sleep(0.3)
+        assert not node.gateway.attempts.quarantine.has_suspects
+
+    run_scenario(scenario)
+
+
+def crash(quarantine, *server_ids, fingerprint=b"request"):
+    for server_id in server_ids:
+        quarantine.record_crash(fingerprint, server_id, 1)
+
+
+def test_each_further_quarantine_takes_twice_as_long(clock):
+    quarantine = CrashQuarantine(clock=clock)
+    crash(quarantine, "s1", "s2")
+    assert quarantine.admit(b"request") == ADMITTED
+    crash(quarantine, "s3")
+    for number, duration_s in enumerate([QUARANTINE_S, 2 * QUARANTINE_S, 4 * QUARANTINE_S]):
+        assert quarantine.admit(b"request").retry_after_s == duration_s
+        # crashes of attempts that were running already change nothing
+        crash(quarantine, f"late{number}")
+        assert quarantine.admit(b"request").retry_after_s == duration_s
+        clock.now += duration_s
+        assert quarantine.admit(b"request", lambda _: False).retry_after_s == TRIAL_INTERVAL_S
+        assert quarantine.admit(b"request").trial
+        assert quarantine.admit(b"request").retry_after_s == TRIAL_INTERVAL_S
+        crash(quarantine, f"trial{number}")
+
+
+def test_response_clears_earlier_crashes_and_not_later_ones(clock):
+    quarantine = CrashQuarantine(clock=clock)
+    crash(quarantine, "s1", "s2")
+    other = CrashQuarantine(clock=clock)
+    cleared = quarantine.record_response(b"request")
+    # The news of the response overtakes those of the crashes.
+    assert [other.apply(report) for report in cleared] == [True, True]
+    crash(other, "s1", "s2")
+    for known in (quarantine, other):
+        assert known.count_crashes(b"request") == 0
+        crash(known, "s3", "s4")
+        assert known.admit(b"request") == ADMITTED
+        crash(known, "s5")
+        assert known.admit(b"request").retry_after_s == QUARANTINE_S
+
+
+def test_memory_of_crashes_is_bounded_and_quarantined_requests_are_dropped_last(clock):
+    quarantine = CrashQuarantine(clock=clock)
+    crash(quarantine, "s1", "s2", "s3")
+    for number in range(MAX_SUSPECTS + 100):
+        clock.now += 0.01
+        crash(quarantine, "s1", fingerprint=b"%d" % number)
+    for number in range(100):
+        crash(quarantine, f"t{number}")
+    assert len({report.fingerprint for report in quarantine.list_reports()}) == MAX_SUSPECTS
+    assert len(quarantine.list_reports()) < MAX_SUSPECTS + 20
+    assert quarantine.count_quarantined() == 1
+    clock.now += 1e5
+    quarantine.expire()
+    assert not quarantine.has_suspects
+
+
+def test_nodes_that_know_different_crashes_agree_on_the_hash_of_a_quarantine(clock):
+    first, second = (CrashQuarantine(clock=clock) for _ in range(2))
+    crash(first, "s1", "s2", "s3", "s4")
+    crash(second, "s4", "s3", "s2", "s1")
+    assert first.compute_hash() == second.compute_hash() != 0
