Recognize a repeated request from any address

Cause: the fingerprint had the caller's address, and the same request came from many. The collected lines show it at nodes of all failure domains within milliseconds, which one address could not do.

Change: the fingerprint is over what the server sees: method, path, host, credentials and body. The simulated request now comes from 600 addresses; with the former fingerprint the test fails (6 nodes, both kinds of request).

--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -239,7 +239,6 @@
         proxied.method = request.method
         proxied.path = request.raw_path
         proxied.headers = request.headers
-        proxied.caller = request.remote or ""
         host = request.headers.get("Host", "")
         route = index.find_route(host.partition(":")[0], proxied.path.partition("?")[0])
         if route is None:
--- a/src/jasmineseam/node/proxied_request.py
+++ b/src/jasmineseam/node/proxied_request.py
@@ -26,8 +26,8 @@
     a server, the reason is appended as the last text. ``elapsed_before_arrival_s`` is the
     estimated time that the caller spent on earlier attempts. ``service_time_s`` is the expected
     service time on a host of normal speed, in seconds. ``table_version`` is the version of
-    the routing table, -1 if none was applied. ``caller`` is the IP address of the caller.
-    ``crash_checks`` holds the checks of servers whose connection broke under the request.
+    the routing table, -1 if none was applied. ``crash_checks`` holds the checks of servers whose
+    connection broke under the request. ``fingerprint`` is empty until it is computed.
     """
 
     __slots__ = (
@@ -35,7 +35,6 @@
         "attempt_count",
         "attempt_trace",
         "body",
-        "caller",
         "crash_checks",
         "deadline_at",
         "dispatcher",
@@ -65,7 +64,6 @@
         self.attempt_count = 0
         self.sent = False
         self.body = b""
-        self.caller = ""
         self.crash_checks: list[asyncio.Task] = []
         self.fingerprint = b""
         self.attempt_trace: list[str] = []
@@ -74,10 +72,7 @@
     def get_fingerprint(self) -> bytes:
         """Return the fingerprint by which a repetition of the request is recognized."""
         if not self.fingerprint:
-            host = self.headers.get("Host", "")
-            self.fingerprint = compute_fingerprint(
-                self.caller, host, self.method, self.path, self.body
-            )
+            self.fingerprint = compute_fingerprint(self.method, self.path, self.headers, self.body)
         return self.fingerprint
 
 
--- a/src/jasmineseam/requests/fingerprint.py
+++ b/src/jasmineseam/requests/fingerprint.py
@@ -1,24 +1,36 @@
-"""Fingerprints by which repeated requests are recognized."""
+"""Fingerprints by which repeated requests are recognized.
+
+Requests with equal fingerprints are the same to a server. The address of the caller is not part of
+it: servers don't receive it, and it changes when a caller moves to another network.
+"""
 
 from __future__ import annotations
 
+import typing as t
+
 import xxhash
 
+# Headers by which servers tell callers apart.
+CREDENTIAL_HEADERS = ("Authorization", "Cookie")
+
 
-def compute_fingerprint(caller: str, host: str, method: str, path: str, body: bytes) -> bytes:
+def compute_fingerprint(
+    method: str, path: str, headers: t.Mapping[str, str], body: bytes
+) -> bytes:
     """Return 16 bytes that are equal for requests of one caller with the same content.
 
-    :param caller: IP address of the caller.
     :param path: path and query.
+    :param headers: host and credentials are used.
 
-    >>> first = compute_fingerprint("10.0.0.1", "h", "GET", "/a", b"")
-    >>> first == compute_fingerprint("10.0.0.1", "h", "GET", "/a", b"")
+    >>> first = compute_fingerprint("GET", "/a", {"Host": "h"}, b"")
+    >>> first == compute_fingerprint("GET", "/a", {"Host": "h", "Accept": "*/*"}, b"")
     True
-    >>> first == compute_fingerprint("10.0.0.2", "h", "GET", "/a", b"")
+    >>> first == compute_fingerprint("GET", "/a", {"Host": "h", "Cookie": "c=1"}, b"")
     False
     """
     digest = xxhash.xxh3_128()
-    for text in (caller, host, method, path):
+    credentials = [headers.get(name, "") for name in CREDENTIAL_HEADERS]
+    for text in (method, path, headers.get("Host", ""), *credentials):
         encoded = text.encode(errors="surrogateescape")
         digest.update(len(encoded).to_bytes(4, "big"))
         digest.update(encoded)
--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -596,10 +596,11 @@
         await asyncio.gather(*calls)
 
     async def repeat_request(self, path, interval_s, duration_s, **options):
-        """Send the same request again and again, at any node."""
+        """Send the same request again and again, at any node and from any address."""
         ends_at = get_time() + duration_s
         while get_time() < ends_at:
-            self.spawn(self.send_request(path, **options))
+            remote = f"100.64.{self.rng.randrange(3)}.{self.rng.randrange(200)}"
+            self.spawn(self.send_request(path, remote=remote, **options))
             await asyncio.sleep(interval_s * self.rng.uniform(0.5, 1.5))
 
     def compute_served_share(self, since, until=float("inf")):
