Refuse a request that is quarantined while it waits for a server

Found by reading: the quarantine was checked only before the wait for load reports and a free slot, which may take until the deadline (6.6 s on the grown sites), so such a request could reach a server long after the third crash.

Test: test_request_that_is_quarantined_while_it_waits_for_a_server_is_not_sent (failed before: 200 from a server).

--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -137,6 +137,7 @@
         route = proxied.route
         connect_failures = 0
         max_attempts = route.max_attempts
+        is_trial = False
         last_result: ServerResponse | AttemptError | None = None
         while (
             proxied.attempt_count < max_attempts
@@ -147,11 +148,15 @@
             ):
                 break
             try:
-                if self._check_quarantine(proxied).trial:
+                is_trial = is_trial or self._check_quarantine(proxied).trial
+                if is_trial:
                     max_attempts = 1
                 placement_request = self._build_placement_request(proxied)
                 await self.refresh_loads(proxied.dispatcher, placement_request)
                 load = await proxied.dispatcher.place(placement_request)
+                if not is_trial:
+                    # The request may have been quarantined while it waited for a server.
+                    self._check_quarantine(proxied)
             except NotRunError as error:
                 if last_result is None:
                     raise
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from jasmineseam.requests.fingerprint import compute_fingerprint
 from jasmineseam.routing.quarantine import ADMITTED
 from jasmineseam.routing.quarantine import MAX_SUSPECTS
 from jasmineseam.routing.quarantine import QUARANTINE_S
@@ -15,6 +16,7 @@
 from standins.instance import InstanceBehaviour
 from tests.deployment import run_scenario
 from tests.deployment import wait_until
+from tests.node_simulation import HOST
 from tests.node_simulation import get_time
 from tests.node_simulation import run_simulation
 
@@ -198,6 +200,25 @@
     run_simulation(scenario, node_count=6, server_count=6)
 
 
+def test_request_that_is_quarantined_while_it_waits_for_a_server_is_not_sent():
+    async def scenario(simulation):
+        (simulated,) = simulation.nodes.values()
+        attempts = simulated.node.gateway.attempts
+
+        async def quarantine_request(dispatcher, request):
+            for number in range(3):
+                attempts.quarantine.record_crash(fingerprint, f"s{number}", 1)
+
+        fingerprint = compute_fingerprint("GET", "/safe/poison", {"Host": HOST}, b"")
+        attempts.refresh_loads = quarantine_request
+        status, headers = await simulation.send_request("/safe/poison")
+        assert status == 503
+        assert float(headers["Retry-After"]) == QUARANTINE_S
+        assert not any(server.arrivals for server in simulation.servers)
+
+    run_simulation(scenario, node_count=1, server_count=2)
+
+
 def test_real_nodes_refuse_a_request_that_has_crashed_three_servers():
     async def scenario(deployment):
         deployment.write_configuration()
