Explain requests refused by a limit or a quarantine

ctl explain printed the bare reasons server-limit and quarantined; the line of a quarantined request now has the fingerprint by which its crashes are found. The placement of an attempt is a function of its own.

--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -148,12 +148,10 @@
             ):
                 break
             try:
-                is_trial = is_trial or self._check_quarantine(proxied).trial
-                if is_trial:
+                if not is_trial and self._check_quarantine(proxied).trial:
+                    is_trial = True
                     max_attempts = 1
-                placement_request = self._build_placement_request(proxied)
-                await self.refresh_loads(proxied.dispatcher, placement_request)
-                load = await proxied.dispatcher.place(placement_request)
+                load = await self._place_attempt(proxied)
                 if not is_trial:
                     # The request may have been quarantined while it waited for a server.
                     self._check_quarantine(proxied)
@@ -185,6 +183,15 @@
             last_result = response
         return self._return_or_raise_last_result(proxied, last_result)
 
+    async def _place_attempt(self, proxied: ProxiedRequest) -> ServerLoad:
+        """Return the server of the next attempt, after waiting for one if necessary.
+
+        :raises NotRunError: if there is none.
+        """
+        request = self._build_placement_request(proxied)
+        await self.refresh_loads(proxied.dispatcher, request)
+        return await proxied.dispatcher.place(request)
+
     def _check_quarantine(self, proxied: ProxiedRequest) -> Admission:
         """Return how the request may be sent.
 
--- a/src/jasmineseam/node/proxied_request.py
+++ b/src/jasmineseam/node/proxied_request.py
@@ -98,7 +98,7 @@
         line.target_ms = round((proxied.target_at - proxied.arrived_at) * 1000)
         line.deadline_ms = round((proxied.deadline_at - proxied.arrived_at) * 1000)
         line.tried_before_ms = round(proxied.elapsed_before_arrival_s * 1000)
-    if outcome.startswith("unknown:"):
+    if outcome.startswith("unknown:") or outcome.endswith(":quarantined"):
         line.fingerprint = proxied.get_fingerprint().hex()
     if proxied.dispatcher is not None:
         line.service = proxied.dispatcher.service
--- a/src/jasmineseam/operations/explanation.py
+++ b/src/jasmineseam/operations/explanation.py
@@ -29,6 +29,8 @@
     "queue-too-long": "the expected wait in the queue was too long to meet the deadline",
     "queue-full": "the node's request queue was full",
     "no-server": "the service had no untried server in the server list",
+    "server-limit": "the servers name limits on requests, which were reached",
+    "quarantined": "servers crashed while they ran the same request, so it is not sent to others",
     "shed": "every server that was tried rejected the request",
     "misdirected": "the addresses that were tried now belong to other servers",
     "connect": "no connection could be opened to the servers that were tried",
@@ -191,6 +193,8 @@
         f"  route {line.route or '-'} of table {line.table}, service {line.service or '-'}",
         f"  target {line.target_ms} ms, deadline {line.deadline_ms} ms",
     ]
+    if line.fingerprint:
+        rows.append(f"  fingerprint {line.fingerprint}")
     if line.tried_before_ms:
         rows.append(f"  earlier attempts of the caller took {line.tried_before_ms} ms")
     if explanation.waited_ms:
--- a/src/jasmineseam/operations/request_log.py
+++ b/src/jasmineseam/operations/request_log.py
@@ -36,7 +36,8 @@
     :param deadline_ms: deadline, in milliseconds from arrival.
     :param tried_before_ms: estimated time that the caller had spent on earlier attempts, in
         milliseconds.
-    :param fingerprint: of a request whose outcome is unknown, equal in its repetitions.
+    :param fingerprint: of a request whose outcome is unknown or that is quarantined; equal in its
+        repetitions.
     :param tried: attempts in order, each as ``server:result:duration:xSLOWNESS@AGE`` with the age
         of the load report; see :func:`.explanation.parse_attempt`.
     :param dropped: number of lines that the rate limit dropped since the previous line.
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -9,6 +9,7 @@
 from standins.configuration import build_route
 from standins.instance import InstanceBehaviour
 from tests.deployment import run_scenario
+from tests.deployment import wait_until
 
 ROUTES = [
     build_route("/safe/", **{"target-latency": "100ms"}),
@@ -39,6 +40,33 @@
     assert status == 502
 
 
+async def fail_by_server_limit(deployment, node):
+    limited = InstanceBehaviour(request_limit_per_s=0.0)
+    deployment.instances["i-1"].behaviour = limited
+    await deployment.send_request(node, "/safe/1")
+    status, headers, _ = await deployment.send_request(node, "/safe/2", request_id="lost-7")
+    assert status == 503
+    assert float(headers["Retry-After"]) > 5.0
+
+
+async def fail_by_quarantine(deployment, node):
+    for number in range(2, 4):
+        await deployment.add_instance(f"i-{number}")
+    await wait_until(lambda: deployment.has_all_servers(node), "all servers are known")
+    for instance in deployment.instances.values():
+        instance.behaviour = InstanceBehaviour(crash_path="/order/1")
+    quarantine = node.gateway.attempts.quarantine
+    for count in range(1, 4):
+        await deployment.send_request(node, "/order/1", method="POST")
+        await wait_until(
+            lambda count=count: quarantine.crash_count == count, "the crash is reported"
+        )
+    status, _, _ = await deployment.send_request(
+        node, "/order/1", method="POST", request_id="lost-7"
+    )
+    assert status == 503
+
+
 async def run_explain(*arguments):
     process = await asyncio.create_subprocess_exec(
         sys.executable,
@@ -62,6 +90,8 @@
             fail_by_broken_connection,
             "the server's connection broke after the request had been sent (i-1)",
         ),
+        (fail_by_server_limit, "the servers name limits on requests, which were reached"),
+        (fail_by_quarantine, "servers crashed while they ran the same request"),
     ],
 )
 def test_explanation_of_a_failed_request_states_its_cause(tmp_path, fail, cause):
