--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -12,7 +12,6 @@
 import time
 import typing as t
 
-import logbook
 import msgspec
 
 from ..exceptions import InvariantError
@@ -25,9 +24,7 @@
 from ..fleet.store_watcher import MAX_CHANGES_PER_NOTICE
 from ..fleet.store_watcher import StoreWatcher
 from ..membership.nodes import NodeInfo
-from ..membership.registry import Departure
 from ..membership.registry import ServerRegistry
-from ..membership.request_limits import RequestLimit
 from ..operations.daemon import Daemon
 from ..operations.node_settings import NodeOptions
 from ..operations.node_settings import NodeSettings
@@ -40,13 +37,10 @@
 from ..peers.messages import ServersNotice
 from ..peers.messages import StateRequest
 from ..requests.protocol import HeaderCodec
-from ..routing.quarantine import CRASH_THRESHOLD
-from ..routing.quarantine import CrashReport
-from ..routing.quarantine import choose_node
-from ..routing.request_shares import ShareCandidate
 from ..routing.routes import RoutingTable
 from .endpoints import EndpointConfig
 from .endpoints import NodeEndpoints
+from .fleet_notices import FleetNotices
 from .gateway import Gateway
 from .listeners import HttpListeners
 from .load_prober import LoadProber
@@ -60,8 +54,6 @@
 LISTENING_GRACE_FRACTION = 0.45
 # Running requests may finish until this fraction of the grace period has passed.
 DRAINING_GRACE_FRACTION = 0.94
-_limits_logger = logbook.Logger("limits")
-_quarantine_logger = logbook.Logger("quarantine")
 
 
 class Node(Daemon):
@@ -119,14 +111,14 @@
             registry=self.registry,
             retry_limits=settings.retries,
             request_log=self.request_log,
-            on_server_leaving=self._report_departure,
-            on_request_limit=self._report_request_limit,
             caller_round_trip_s=options.caller_round_trip_s,
         )
-        self.gateway.dispatchers.list_share_candidates = self._list_share_candidates
-        crash_detector = self.gateway.attempts.crash_detector
-        crash_detector.publish = lambda reports: self.fleet.publish(crashes=reports, urgent=True)
-        crash_detector.may_try = self._sends_trial
+        self._notices = FleetNotices(gateway=self.gateway, registry=self.registry)
+        self.gateway.on_server_leaving = self._notices.report_departure
+        self.gateway.on_request_limit = self._notices.report_request_limit
+        self.gateway.dispatchers.list_share_candidates = self._notices.list_share_candidates
+        self.gateway.attempts.crash_detector.publish = self._notices.report_crashes
+        self.gateway.attempts.crash_detector.may_try = self._notices.sends_trial
         self.datagrams = DatagramEndpoint(handler=self._handle_datagram)
         self.state_sync = StateSynchronizer(
             registry=self.registry,
@@ -135,8 +127,8 @@
             peer_clients=self.peer_clients,
             get_table=lambda: self.gateway.routing_table,
             apply_table=self._apply_routing_table,
-            add_request_limits=self._add_request_limits,
-            add_crashes=self._add_crashes,
+            add_request_limits=self._notices.add_request_limits,
+            add_crashes=self._notices.add_crashes,
         )
         self.fleet = Fleet(
             own=NodeInfo(
@@ -152,15 +144,16 @@
             handlers=FleetHandlers(
                 get_digest=self.state_sync.build_digest,
                 on_digest=self.state_sync.handle_digest,
-                add_departures=self._add_departures,
-                add_request_limits=self._add_request_limits,
-                add_crashes=self._add_crashes,
+                add_departures=self._notices.add_departures,
+                add_request_limits=self._notices.add_request_limits,
+                add_crashes=self._notices.add_crashes,
                 apply_servers=self.state_sync.apply_notice,
                 on_nodes_changed=self._apply_node_count,
             ),
             clock=time.monotonic,
             rng=random.Random(),
         )
+        self._notices.fleet = self.fleet
 
     @property
     def ready(self) -> bool:
@@ -351,68 +344,6 @@
                 self.fleet.publish(servers=notice)
         self._publish_own_state(urgent=True)
 
-    def _report_departure(self, server_id: str, started_ms: int) -> None:
-        """Record and spread that a server has reported its departure in a response."""
-        departure = Departure(server_id=server_id, started_ms=started_ms)
-        if self.registry.add_departure(departure):
-            self.logger.info(
-                "Server {} reports that it is leaving; it gets no new requests.", server_id
-            )
-            self.fleet.publish(departures=[departure], urgent=True)
-
-    def _add_departures(self, departures: list[Departure]) -> list[Departure]:
-        return [departure for departure in departures if self.registry.add_departure(departure)]
-
-    def _report_request_limit(self, limit: RequestLimit) -> None:
-        """Log and spread a limit that a server has named, moved or withdrawn in a response."""
-        self._log_request_limit(limit, "its response")
-        self.fleet.publish(request_limits=[limit], urgent=True)
-
-    def _add_request_limits(self, limits: list[RequestLimit]) -> list[RequestLimit]:
-        new = [limit for limit in limits if self.gateway.request_limits.apply(limit)]
-        if new:
-            self.gateway.dispatchers.apply_request_limits()
-        for limit in new:
-            self._log_request_limit(limit, "another node")
-        return new
-
-    def _log_request_limit(self, limit: RequestLimit, source: str) -> None:
-        if limit.requests_per_s is None:
-            _limits_logger.info(
-                "Server {} names no limit any more, according to {}; it is used as before.",
-                limit.server_id,
-                source,
-            )
-            return
-        shares = dict(self.gateway.dispatchers.list_request_shares())
-        _limits_logger.info(
-            "Server {} accepts {:g} requests/s from all nodes, according to {}; "
-            "this node sends at most {:.3g}/s.",
-            limit.server_id,
-            limit.requests_per_s,
-            source,
-            shares.get(limit.server_id, 0.0),
-        )
-
-    def _add_crashes(self, reports: list[CrashReport]) -> list[CrashReport]:
-        quarantine = self.gateway.attempts.quarantine
-        new = [report for report in reports if quarantine.apply(report)]
-        for fingerprint in {report.fingerprint for report in new}:
-            if quarantine.count_crashes(fingerprint) >= CRASH_THRESHOLD:
-                _quarantine_logger.warning(
-                    "Request with fingerprint {} has crashed {} servers, according to other "
-                    "nodes; it is refused.",
-                    fingerprint.hex(),
-                    quarantine.count_crashes(fingerprint),
-                )
-        return new
-
-    def _sends_trial(self, fingerprint: bytes) -> bool:
-        """Return whether this node sends the trial of a request after its quarantine."""
-        return self.settings.vm.id == choose_node(
-            fingerprint, [node.vm_id for node in self._list_share_candidates()]
-        )
-
     def _apply_node_count(self) -> None:
         """Adapt shared limits and the subsets of servers to the number of nodes."""
         membership = self.fleet.membership
@@ -420,14 +351,6 @@
             membership.count(), membership.count(self.settings.vm.failure_domain)
         )
 
-    def _list_share_candidates(self) -> list[ShareCandidate]:
-        membership = self.fleet.membership
-        return [
-            ShareCandidate(info.vm_id, info.failure_domain)
-            for info in (*membership.list_peers(), membership.own)
-            if not info.leaving
-        ]
-
     async def _run_supervised(self, run_forever: t.Callable[[], t.Awaitable[None]]) -> None:
         """Run a background task, and start it again after an unexpected error.
 
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -55,9 +55,6 @@
     :param registry: the registered servers.
     :param retry_limits: the limits on retries and hedges of each service, summed over all nodes.
     :param request_log: writes a line for each request, within its rate limit.
-    :param on_server_leaving: called with a server's id and the Unix time of its start in
-        milliseconds if a response reports that the server is leaving.
-    :param on_request_limit: called when a response changes the limit that its server names.
     :param caller_round_trip_s: network round trip between a caller and the node, in seconds.
     """
 
@@ -70,8 +67,6 @@
         registry: ServerRegistry,
         retry_limits: RetryBudgetSettings,
         request_log: RequestLog,
-        on_server_leaving: t.Callable[[str, int], None] = lambda server_id, started_ms: None,
-        on_request_limit: t.Callable[[RequestLimit], None] = lambda limit: None,
         caller_round_trip_s: float = 0.0,
     ) -> None:
         self._caller_round_trip_s = caller_round_trip_s
@@ -95,8 +90,11 @@
             retry_limits=retry_limits,
             record_server_state=self.record_server_state,
         )
-        self._on_server_leaving = on_server_leaving
-        self._on_request_limit = on_request_limit
+        # Called with a server's id and the Unix time of its start in milliseconds if a response
+        # reports that the server is leaving.
+        self.on_server_leaving: t.Callable[[str, int], None] = lambda server_id, started_ms: None
+        # Called when a response changes the limit that its server names.
+        self.on_request_limit: t.Callable[[RequestLimit], None] = lambda limit: None
         # While set, each response closes its caller connection.
         self.draining = False
         self.in_flight = 0
@@ -131,7 +129,7 @@
         :param probe: whether the response answers a probe.
         """
         if head.leaving:
-            self._on_server_leaving(load.server_id, load.started_ms)
+            self.on_server_leaving(load.server_id, load.started_ms)
         if head.retry_after_s > 0.0:
             self.dispatchers.pause_server(load, time.monotonic() + head.retry_after_s)
         if head.request_limit_per_s is None and not (head.signed or head.not_run or probe):
@@ -146,7 +144,7 @@
         )
         if limit is not None:
             self.dispatchers.apply_request_limits()
-            self._on_request_limit(limit)
+            self.on_request_limit(limit)
 
     def apply_routing_table(self, table: RoutingTable) -> bool:
         """Apply a routing table if its version is newer; return whether it was applied."""
--- a/src/jasmineseam/routing/quarantine.py
+++ b/src/jasmineseam/routing/quarantine.py
@@ -278,10 +278,11 @@
         self._hash = None
 
 
-def choose_node(fingerprint: bytes, node_ids: t.Iterable[str]) -> str:
+def choose_trial_node(fingerprint: bytes, node_ids: t.Iterable[str]) -> str:
     """Return the node that sends the trial of a request, empty if there are no nodes.
 
-    >>> choose_node(b"request", ["n1", "n2"]) == choose_node(b"request", ["n2", "n1"])
+    >>> nodes = ["n1", "n2"]
+    >>> choose_trial_node(b"request", nodes) == choose_trial_node(b"request", nodes[::-1])
     True
     """
     return max(
--- a/src/jasmineseam/routing/request_shares.py
+++ b/src/jasmineseam/routing/request_shares.py
@@ -76,21 +76,15 @@
     """
     burst = BURST_REQUESTS + limit_per_s
     count = max(1, min(len(nodes), int(burst)))
-    own_key = None
-    preceding = 0
-    keys = []
-    for node in nodes:
-        key = (
+    ranking_keys = {
+        node.vm_id: (
             node.failure_domain != failure_domain,
             xxhash.xxh3_64_intdigest(f"{node.vm_id} {server_id}".encode()),
         )
-        keys.append(key)
-        if node.vm_id == node_id:
-            own_key = key
-    if own_key is None:
-        return NO_SHARE
-    preceding = sum(key < own_key for key in keys)
-    if preceding >= count:
+        for node in nodes
+    }
+    own_key = ranking_keys.get(node_id)
+    if own_key is None or sum(key < own_key for key in ranking_keys.values()) >= count:
         return NO_SHARE
     requests_per_s = max(MIN_REQUESTS_PER_S, USABLE_LIMIT_FRACTION * limit_per_s)
     return RequestShare(requests_per_s / count, max(1.0, burst / count), count)
