--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -16,15 +16,15 @@
 from standins.instance import InstanceBehaviour
 from tests.deployment import run_scenario
 from tests.deployment import wait_until
+from tests.fleet_troubles import STABILITY_S
+from tests.fleet_troubles import TROUBLES
 from tests.node_simulation import HOST
-from tests.node_simulation import get_time
 from tests.node_simulation import run_simulation
 
 # A request that has crashed CRASH_LIMIT servers may reach others MAX_RETRIES times from
 # STABILITY_S after the last of these crashes.
 CRASH_LIMIT = 3
 MAX_RETRIES = 3
-STABILITY_S = 3.0
 
 
 def count_late_arrivals(simulation, path, is_excused=lambda arrival: False):
@@ -68,49 +68,6 @@
     run_simulation(scenario, node_count=node_count, server_count=server_count)
 
 
-async def lose_datagrams(simulation):
-    simulation.loss = 0.3 if len(simulation.nodes) < 100 else 0.1
-    return lambda arrival: False
-
-
-async def delay_news(simulation):
-    """Delay what a third of the nodes send by up to a second."""
-    for name in list(simulation.nodes)[1::3]:
-        simulation.node_delays_s[name] = simulation.rng.uniform(0.2, 1.0)
-    return lambda arrival: False
-
-
-async def cut_off_nodes(simulation):
-    """Cut a third of the nodes off from the others for some seconds; they don't count."""
-    cut = set(list(simulation.nodes)[1::3])
-    simulation.is_cut = lambda sender, receiver: (sender in cut) != (receiver in cut)
-
-    async def end_cut():
-        await asyncio.sleep(5.0)
-        simulation.is_cut = lambda sender, receiver: False
-
-    simulation.spawn(end_cut())
-    return lambda arrival: arrival.node.name in cut
-
-
-async def restart_nodes(simulation):
-    """Kill and start nodes one after the other; for some time after that they don't count."""
-    restarted_at = {}
-
-    async def restart_each():
-        for name in list(simulation.nodes)[1::3]:
-            simulation.nodes[name].kill()
-            await asyncio.sleep(0.5)
-            restarted_at[simulation.start_node(name, knows_state=False).start_id] = get_time()
-            await asyncio.sleep(0.2)
-
-    simulation.spawn(restart_each())
-    return lambda arrival: (
-        arrival.at < restarted_at.get(arrival.node.start_id, float("-inf")) + STABILITY_S
-    )
-
-
-TROUBLES = [lose_datagrams, delay_news, cut_off_nodes, restart_nodes]
 long = pytest.mark.long
 
 
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -7,6 +7,10 @@
 
 import pytest
 
+from tests.fleet_troubles import STABILITY_S
+from tests.fleet_troubles import TROUBLES
+from tests.fleet_troubles import cut_off_nodes
+from tests.fleet_troubles import restart_nodes
 from tests.node_simulation import get_time
 from tests.node_simulation import run_simulation
 
@@ -14,8 +18,6 @@
 WINDOW_S = 4.0
 BURST_FACTOR = 1.5
 BURST_REQUESTS = 5
-# time after the first response that names a limit from which the limit is checked
-STABILITY_S = 3.0
 # a node counts this long after it has received the limit
 NOTICE_S = 0.5
 
@@ -87,12 +89,6 @@
         server.name_limit(limit)
 
 
-def choose_names(simulation, share):
-    """Draw the names of a share of the nodes, without the one that reads the store."""
-    names = list(simulation.nodes)[1:]
-    return set(simulation.rng.sample(names, round(share * len(names))))
-
-
 @pytest.mark.parametrize(("node_count", "server_count", "requests_per_s"), SIZES)
 def test_servers_that_name_a_limit_get_no_more_from_all_nodes_together(
     node_count, server_count, requests_per_s
@@ -109,58 +105,6 @@
     run_simulation(scenario, node_count=node_count, server_count=server_count)
 
 
-async def lose_datagrams(simulation):
-    # With more loss, a large fleet suspects half of its nodes at any time.
-    simulation.loss = 0.3 if len(simulation.nodes) < 100 else 0.1
-    return lambda arrival: False
-
-
-async def delay_news(simulation):
-    """Delay what a third of the nodes send by up to a second."""
-    for name in choose_names(simulation, 0.33):
-        simulation.node_delays_s[name] = simulation.rng.uniform(0.2, 1.0)
-    return lambda arrival: False
-
-
-async def cut_off_nodes(simulation):
-    """Cut a third of the nodes off from the others for some seconds; the limit excuses them."""
-    cut = choose_names(simulation, 0.33)
-    simulation.is_cut = lambda sender, receiver: (sender in cut) != (receiver in cut)
-
-    async def end_cut():
-        await asyncio.sleep(6.0)
-        simulation.is_cut = lambda sender, receiver: False
-
-    simulation.spawn(end_cut())
-    return lambda arrival: arrival.node.name in cut
-
-
-async def cut_off_one_way(simulation):
-    """Lose what some nodes send to some others; it reaches them by way of the rest."""
-    senders = choose_names(simulation, 0.3)
-    receivers = choose_names(simulation, 0.3)
-    simulation.is_cut = lambda sender, receiver: sender in senders and receiver in receivers
-    return lambda arrival: False
-
-
-async def restart_nodes(simulation):
-    """Kill and start nodes one after the other; a limit excuses a node for some time after it."""
-    restarted_at = {}
-
-    async def restart_each():
-        for name in sorted(choose_names(simulation, 0.4)):
-            simulation.nodes[name].kill()
-            await asyncio.sleep(0.5)
-            restarted_at[simulation.start_node(name, knows_state=False).start_id] = get_time()
-            await asyncio.sleep(0.2)
-
-    simulation.spawn(restart_each())
-    return lambda arrival: (
-        arrival.at < restarted_at.get(arrival.node.start_id, float("-inf")) + STABILITY_S
-    )
-
-
-TROUBLES = [lose_datagrams, delay_news, cut_off_nodes, cut_off_one_way, restart_nodes]
 SMALL, MEDIUM, LARGE = SIZES
 long = pytest.mark.long
 
