--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -7,6 +7,13 @@
 
 import pytest
 
+from jasmineseam.membership.request_limits import RequestLimit
+from jasmineseam.membership.request_limits import RequestLimits
+from jasmineseam.routing.request_shares import MIN_REQUESTS_PER_S
+from jasmineseam.routing.request_shares import RequestShare
+from jasmineseam.routing.request_shares import ShareCandidate
+from jasmineseam.routing.request_shares import TokenBucket
+from jasmineseam.routing.request_shares import compute_share
 from tests.fleet_troubles import STABILITY_S
 from tests.fleet_troubles import TROUBLES
 from tests.fleet_troubles import cut_off_nodes
@@ -215,3 +222,92 @@
         assert refused_s[-1] < 0.5
 
     run_simulation(scenario, node_count=node_count, server_count=server_count)
+
+
+@pytest.mark.parametrize(
+    ("response", "sent_at", "probe", "expected"),
+    [
+        (2.0, 0.0, False, 2.0),  # a lower limit counts at once
+        (8.0, 0.9, False, 4.0),  # the request was sent before the limit was last named
+        (8.0, 1.1, False, 8.0),
+        (None, 0.9, False, 4.0),
+        (None, 1.1, False, None),
+        (None, 1.1, True, 4.0),  # responses to probes have never named the limit
+        (4.1, 1.1, False, 4.0),  # too small a change
+    ],
+)
+def test_responses_that_overtake_each_other_do_not_raise_a_limit(
+    clock, response, sent_at, probe, expected
+):
+    limits = RequestLimits(clock=clock)
+    limits.observe("s1", 1, 4.0, sent_at=0.0)
+    clock.now = 1.0
+    limits.observe("s1", 1, 4.0, sent_at=0.5)
+    clock.now = 2.0
+    limits.observe("s1", 1, response, sent_at=sent_at, probe=probe)
+    assert limits.get("s1", 1) == expected
+
+
+def test_probe_withdraws_a_limit_that_probes_have_named(clock):
+    limits = RequestLimits(clock=clock)
+    limits.observe("s1", 1, 4.0, sent_at=0.0)
+    clock.now = 1.0
+    limits.observe("s1", 1, 4.0, sent_at=0.5, probe=True)
+    clock.now = 2.0
+    assert limits.observe("s1", 1, None, sent_at=1.5, probe=True).requests_per_s is None
+
+
+def make_limit(version, requests_per_s, started_ms=1):
+    return RequestLimit(
+        server_id="s1", started_ms=started_ms, version=version, requests_per_s=requests_per_s
+    )
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "expected"),
+    [
+        (make_limit(1, 4.0), make_limit(2, None), None),
+        (make_limit(1, 4.0), make_limit(2, 9.0), 9.0),
+        # Two nodes have observed different limits at the same time.
+        (make_limit(2, 4.0), make_limit(2, None), 4.0),
+        (make_limit(2, 4.0), make_limit(2, 1.0), 1.0),
+        # The second limit is one of the server's next start.
+        (make_limit(9, 4.0), make_limit(1, 1.0, started_ms=2), None),
+    ],
+)
+def test_nodes_agree_on_a_limit_in_any_order_of_news(clock, first, second, expected):
+    known = [RequestLimits(clock=clock) for _ in range(2)]
+    for limits, news in zip(known, ([first, second], [second, first]), strict=True):
+        for limit in (*news, *news):
+            limits.apply(limit)
+        assert limits.get("s1", 1) == expected
+    assert known[0].compute_hash() == known[1].compute_hash()
+
+
+def test_limits_of_servers_that_are_not_listed_are_forgotten(clock):
+    limits = RequestLimits(clock=clock)
+    for name in ("s1", "s2"):
+        limits.observe(name, 1, 4.0, sent_at=0.0)
+    for _ in range(100):
+        clock.now += 1.0
+        limits.expire({"s2"})
+    assert [limit.server_id for limit in limits.list_limits()] == ["s2"]
+
+
+@pytest.mark.parametrize("limit", [0.0, 0.5, 1.0, 2.4, 4.1, 30.0, 500.0])
+@pytest.mark.parametrize("node_count", [1, 2, 6, 30, 123])
+def test_shares_and_bursts_of_all_nodes_fit_the_limit(limit, node_count):
+    nodes = [ShareCandidate(f"n{number}", f"d{number % 3}") for number in range(node_count)]
+    shares = [
+        compute_share(limit, server_id="s1", failure_domain="d1", node_id=node.vm_id, nodes=nodes)
+        for node in nodes
+    ]
+    total = sum(share.requests_per_s for share in shares)
+    assert total <= max(limit, MIN_REQUESTS_PER_S)
+    burst = sum(share.burst for share in shares)
+    assert WINDOW_S * total + burst <= BURST_FACTOR * WINDOW_S * limit + BURST_REQUESTS
+
+
+def test_node_that_gets_a_share_has_no_requests_saved():
+    bucket = TokenBucket(share=RequestShare(0.5, 3.0, 2), now=100.0)
+    assert bucket.get_available_at(100.0) == 102.0
