Refuse a repeated request at once if only excluded servers may accept one

Found by reading: while all servers name a limit, a further attempt of a request waited for a token of servers that had had one already, until its target passed.

--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -273,7 +273,12 @@
 
         Used while no server may receive a request. Requests that are queued already come first.
         """
-        limited = [load for load in self.loads.values() if load.request_bucket is not None]
+        limited = [
+            load
+            for load in self.loads.values()
+            if load.request_bucket is not None
+            and load.server_id not in request.excluded_server_ids
+        ]
         if not limited:
             return False
         available_at = min(load.get_available_at(now) for load in limited)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -11,6 +11,8 @@
 from jasmineseam.routing.dispatch import PlacementRequest
 from jasmineseam.routing.load import ServerLoad
 from jasmineseam.routing.placement import estimate_server
+from jasmineseam.routing.request_shares import RequestShare
+from jasmineseam.routing.request_shares import TokenBucket
 from jasmineseam.routing.routes import Route
 from jasmineseam.routing.routes import WeightedRoundRobin
 from jasmineseam.routing.routes import WeightedService
@@ -333,3 +335,41 @@
             await late
 
     asyncio.run(scenario())
+
+
+def make_limited_load(name, *, requests_per_s=5.0):
+    load = make_load(name)
+    share = RequestShare(requests_per_s, 1.0, 1)
+    load.request_bucket = TokenBucket(share=share, now=0.0)
+    return load
+
+
+@pytest.mark.parametrize(
+    ("target_at", "excluded_server_ids", "expected"),
+    [
+        # a token at 0.2 s is in time
+        (0.5, (), "a"),
+        (0.25, (), "server-limit"),
+        # the only server with a token in time has had an attempt of the request
+        (0.5, ("a",), "server-limit"),
+    ],
+)
+def test_request_waits_for_a_token_only_if_it_can_then_meet_its_target(
+    clock, target_at, excluded_server_ids, expected
+):
+    async def place():
+        dispatcher = make_dispatcher(clock, make_limited_load("a"))
+        dispatcher.average_slowness.value = 1.0
+        request = make_request(target_at=target_at, excluded_server_ids=excluded_server_ids)
+        placement = asyncio.ensure_future(dispatcher.place(request))
+        await asyncio.sleep(0.0)
+        is_waiting = not placement.done()
+        clock.now = 0.21
+        dispatcher.place_queued_requests()
+        try:
+            async with asyncio.timeout(1.0):
+                return is_waiting, (await placement).server_id
+        except NotRunError as error:
+            return is_waiting, error.reason
+
+    assert asyncio.run(place()) == (expected == "a", expected)
