Simplify what the limits and the quarantine added

From reading the whole change again; behaviour stays as it is, but for which node sends a trial.

- One hash in each message covers departures, limits and crashes.
They were three fields that led to the same request.
- Outbox: one loop over its kinds of news instead of five, and one place that empties it.
- Rendezvous hashing stood in three places; subsets.compute_rendezvous_weight serves all.
- Dispatchers: which servers are shared is derived from the buckets, not kept beside them; each server's bucket is looked up once per refresh.
- Tests: one table of trouble between nodes for both rules, with the same cases.

--- a/src/jasmineseam/fleet/outbox.py
+++ b/src/jasmineseam/fleet/outbox.py
@@ -23,12 +23,7 @@
     __slots__ = ("_crashes", "_departures", "_limits", "_nodes", "_servers", "_suspected")
 
     def __init__(self) -> None:
-        self._nodes: dict[str, NodeInfo] = {}
-        self._suspected: dict[str, int] = {}
-        self._departures: dict[str, Departure] = {}
-        self._servers: list[ServersNotice] = []
-        self._limits: dict[str, RequestLimit] = {}
-        self._crashes: list[CrashReport] = []
+        self._clear()
 
     def add(
         self,
@@ -50,27 +45,25 @@
 
     def take_parts(self) -> t.Iterator[dict[str, t.Any]]:
         """Yield the contents of the updates to send, and empty the outbox."""
-        nodes = list(self._nodes.values())
-        suspected = list(self._suspected.items())
-        departures = list(self._departures.values())
+        batches: tuple[tuple[str, list[t.Any], int], ...] = (
+            ("nodes", list(self._nodes.values()), MAX_NODES_PER_UPDATE),
+            ("suspected", list(self._suspected.items()), MAX_NODES_PER_UPDATE),
+            ("departures", list(self._departures.values()), MAX_DEPARTURES_PER_UPDATE),
+            ("request_limits", list(self._limits.values()), MAX_LIMITS_PER_UPDATE),
+            ("crashes", self._crashes, MAX_CRASHES_PER_UPDATE),
+        )
         servers = self._servers
-        limits = list(self._limits.values())
-        crashes = self._crashes
-        self._limits = {}
-        self._crashes = []
-        self._nodes = {}
-        self._suspected = {}
-        self._departures = {}
-        self._servers = []
-        for start in range(0, len(nodes), MAX_NODES_PER_UPDATE):
-            yield {"nodes": nodes[start : start + MAX_NODES_PER_UPDATE]}
-        for start in range(0, len(suspected), MAX_NODES_PER_UPDATE):
-            yield {"suspected": suspected[start : start + MAX_NODES_PER_UPDATE]}
-        for start in range(0, len(departures), MAX_DEPARTURES_PER_UPDATE):
-            yield {"departures": departures[start : start + MAX_DEPARTURES_PER_UPDATE]}
-        for start in range(0, len(limits), MAX_LIMITS_PER_UPDATE):
-            yield {"request_limits": limits[start : start + MAX_LIMITS_PER_UPDATE]}
-        for start in range(0, len(crashes), MAX_CRASHES_PER_UPDATE):
-            yield {"crashes": crashes[start : start + MAX_CRASHES_PER_UPDATE]}
+        self._clear()
+        for field, items, max_items in batches:
+            for start in range(0, len(items), max_items):
+                yield {field: items[start : start + max_items]}
         for notice in servers:
             yield {"servers": notice}
+
+    def _clear(self) -> None:
+        self._nodes: dict[str, NodeInfo] = {}
+        self._suspected: dict[str, int] = {}
+        self._departures: dict[str, Departure] = {}
+        self._servers: list[ServersNotice] = []
+        self._limits: dict[str, RequestLimit] = {}
+        self._crashes: list[CrashReport] = []
--- a/src/jasmineseam/fleet/state_sync.py
+++ b/src/jasmineseam/fleet/state_sync.py
@@ -152,9 +152,7 @@
             table_version=self._get_table_version(),
             servers_position=registry.position,
             servers_age_ms=age_ms if registry.loaded else -1,
-            leaving_hash=registry.compute_leaving_hash(),
-            limits_hash=self._request_limits.compute_hash(),
-            crashes_hash=self._quarantine.compute_hash(),
+            notices_hash=self._compute_notices_hash(),
         )
 
     def handle_digest(self, sender: NodeInfo, digest: StateDigest) -> None:
@@ -235,14 +233,18 @@
         # Either node may lack departures, limits or crashes; both request them, but not often.
         return (
             digest.servers_position == registry.position
-            and (
-                digest.leaving_hash != registry.compute_leaving_hash()
-                or digest.limits_hash != self._request_limits.compute_hash()
-                or digest.crashes_hash != self._quarantine.compute_hash()
-            )
+            and digest.notices_hash != self._compute_notices_hash()
             and time.monotonic() - self._notices_requested_at > NOTICES_REQUEST_INTERVAL_S
         )
 
+    def _compute_notices_hash(self) -> int:
+        """Return a hash over what nodes observe of servers and send each other."""
+        return (
+            self._registry.compute_leaving_hash()
+            ^ self._request_limits.compute_hash()
+            ^ self._quarantine.compute_hash()
+        )
+
     async def _request_newer(self) -> None:
         while self._sources:
             if self._registry.loaded:
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -286,7 +286,7 @@
             "servers": self.registry.count_usable(),
             "servers_age_s": round(self.registry.get_list_age_s(), 3),
             "in_flight": self.gateway.in_flight,
-            "request_shares": dict(self.gateway.dispatchers.list_request_shares()),
+            "request_shares": self.gateway.dispatchers.get_request_shares(),
             "quarantined": self.gateway.attempts.quarantine.count_quarantined(),
             "task_restarts": dict(self.task_restarts),
             "outcomes": dict(self.gateway.outcome_counts),
--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -53,8 +53,6 @@
         # this node's shares of the limits that servers name, by the server's id and the Unix time
         # of its start in milliseconds
         self._request_buckets: dict[tuple[str, int], TokenBucket] = {}
-        # whether this node has a share, for each of these servers
-        self._usable_limited: dict[tuple[str, int], bool] = {}
         self._share_candidates: list[ShareCandidate] = []
         # this node's rank for the limit of each server, among the current candidates
         self._share_ranks: dict[str, int | None] = {}
@@ -115,12 +113,12 @@
             self._refresh_dispatcher(dispatcher)
             dispatcher.place_queued_requests()
 
-    def list_request_shares(self) -> list[tuple[str, float]]:
-        """Return the servers that name a limit, with the requests per second of this node."""
-        return [
-            (server_id, bucket.share.requests_per_s)
+    def get_request_shares(self) -> dict[str, float]:
+        """Return this node's requests per second for each server that names a limit."""
+        return {
+            server_id: bucket.share.requests_per_s
             for (server_id, _), bucket in self._request_buckets.items()
-        ]
+        }
 
     def _update_request_buckets(self) -> bool:
         """Compute this node's shares of the limits; a server may be listed after its limit.
@@ -128,6 +126,7 @@
         :returns: whether this node may use other servers than before.
         """
         now = time.monotonic()
+        shared_before = self._get_shared()
         candidates = self.list_share_candidates()
         if candidates != self._share_candidates:
             self._share_candidates = candidates
@@ -147,13 +146,15 @@
             else:
                 bucket.set_share(share, now)
             buckets[key] = bucket
-        usable_before = self._usable_limited
-        self._usable_limited = {
-            key: bucket.share.requests_per_s > 0.0 for key, bucket in buckets.items()
-        }
         self._request_buckets = buckets
         self._share_ranks = ranks
-        return self._usable_limited != usable_before
+        return self._get_shared() != shared_before
+
+    def _get_shared(self) -> dict[tuple[str, int], bool]:
+        """Return whether this node has a share, for each server that names a limit."""
+        return {
+            key: bucket.share.requests_per_s > 0.0 for key, bucket in self._request_buckets.items()
+        }
 
     def _get_share_rank(self, registered: RegisteredServer) -> int | None:
         """Return this node's rank for the limit of a server."""
@@ -237,15 +238,16 @@
     def _refresh_dispatcher(self, dispatcher: Dispatcher) -> None:
         now = time.monotonic()
         loads = {}
-        usable = self._registry.list_usable(dispatcher.service)
-        unlimited = [
-            registered for registered in usable if self._get_request_bucket(registered) is None
+        usable = [
+            (registered, self._get_request_bucket(registered))
+            for registered in self._registry.list_usable(dispatcher.service)
         ]
-        subset = self._choose_subset(dispatcher, unlimited)
-        for registered in usable:
+        subset = self._choose_subset(
+            dispatcher, [registered for registered, bucket in usable if bucket is None]
+        )
+        for registered, bucket in usable:
             server = registered.server
             load = dispatcher.loads.get(server.server_id)
-            bucket = self._get_request_bucket(registered)
             if bucket is not None and not bucket.share.requests_per_s:
                 continue
             # This node uses each server of whose limit it has a share.
--- a/src/jasmineseam/node/fleet_notices.py
+++ b/src/jasmineseam/node/fleet_notices.py
@@ -14,7 +14,7 @@
 from ..routing.request_shares import ShareCandidate
 from .gateway import Gateway
 
-_registry_logger = logbook.Logger("node")
+_logger = logbook.Logger("node")
 _limits_logger = logbook.Logger("limits")
 _quarantine_logger = logbook.Logger("quarantine")
 
@@ -40,7 +40,7 @@
         """Record and publish that a server has reported its departure in a response."""
         departure = Departure(server_id=server_id, started_ms=started_ms)
         if self._registry.add_departure(departure):
-            _registry_logger.info(
+            _logger.info(
                 "Server {} reports that it is leaving; it gets no new requests.", server_id
             )
             self.fleet.publish(departures=[departure], urgent=True)
@@ -104,7 +104,7 @@
                 source,
             )
             return
-        shares = dict(self._gateway.dispatchers.list_request_shares())
+        shares = self._gateway.dispatchers.get_request_shares()
         _limits_logger.info(
             "Server {} accepts {:g} requests/s from all nodes, according to {}; "
             "this node sends at most {:.3g}/s.",
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -65,7 +65,7 @@
     def read_request_shares():
         return [
             (requests_per_s, {"server": server_id})
-            for server_id, requests_per_s in gateway.dispatchers.list_request_shares()
+            for server_id, requests_per_s in gateway.dispatchers.get_request_shares().items()
         ]
 
     def read_quarantined():
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -216,18 +216,15 @@
     :param servers_position: store position up to which the node knows the server list.
     :param servers_age_ms: time since the list was confirmed by a read of the store, in
         milliseconds; -1 if the node has no list.
-    :param leaving_hash: hash over the listed servers that have reported their departure.
-    :param limits_hash: hash over the limits that servers name.
-    :param crashes_hash: hash over the crashes of servers under requests.
+    :param notices_hash: hash over the listed servers that have reported their departure, the
+        limits that servers name and the crashes of servers under requests.
     """
 
     nodes_hash: int
     table_version: int
     servers_position: StorePosition
     servers_age_ms: t.Annotated[int, msgspec.Meta(ge=-1, le=2**31)]
-    leaving_hash: int = 0
-    limits_hash: int = 0
-    crashes_hash: int = 0
+    notices_hash: int = 0
 
 
 class FleetMessage(Message):
--- a/src/jasmineseam/routing/quarantine.py
+++ b/src/jasmineseam/routing/quarantine.py
@@ -16,6 +16,8 @@
 import msgspec
 import xxhash
 
+from .subsets import compute_rendezvous_weight
+
 # A request that has crashed this many servers is quarantined.
 CRASH_THRESHOLD = 3
 QUARANTINE_S = 120.0
@@ -287,6 +289,6 @@
     """
     return max(
         node_ids,
-        key=lambda node_id: xxhash.xxh3_64_intdigest(fingerprint + node_id.encode()),
+        key=lambda node_id: compute_rendezvous_weight(node_id, fingerprint.hex()),
         default="",
     )
--- a/src/jasmineseam/routing/request_shares.py
+++ b/src/jasmineseam/routing/request_shares.py
@@ -10,7 +10,7 @@
 
 import typing as t
 
-import xxhash
+from .subsets import compute_rendezvous_weight
 
 # Fraction of the limit that the nodes use, so that they stay within it while nodes that don't know
 # of each other's start or failure yet share it among too few.
@@ -72,7 +72,7 @@
     ranking_keys = {
         node.vm_id: (
             node.failure_domain != failure_domain,
-            xxhash.xxh3_64_intdigest(f"{node.vm_id} {server_id}".encode()),
+            compute_rendezvous_weight(node.vm_id, server_id),
         )
         for node in nodes
     }
--- a/src/jasmineseam/routing/subsets.py
+++ b/src/jasmineseam/routing/subsets.py
@@ -72,9 +72,12 @@
     size = compute_subset_size(len(candidates), node_count)
     if size >= len(candidates):
         return [server.server_id for server in candidates]
-    candidates.sort(key=lambda server: _compute_weight(node_id, server.server_id), reverse=True)
+    candidates.sort(
+        key=lambda server: compute_rendezvous_weight(node_id, server.server_id), reverse=True
+    )
     return [server.server_id for server in candidates[:size]]
 
 
-def _compute_weight(node_id: str, server_id: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{node_id} {server_id}".encode())
+def compute_rendezvous_weight(node_id: str, key: str) -> int:
+    """Return the weight of a node for a key, by which all nodes choose the same node for it."""
+    return xxhash.xxh3_64_intdigest(f"{node_id} {key}".encode())
--- a/tests/fleet_troubles.py
+++ b/tests/fleet_troubles.py
@@ -6,6 +6,8 @@
 
 import asyncio
 
+import pytest
+
 from tests.node_simulation import get_time
 
 # A node is excused for this time after its start.
@@ -75,3 +77,23 @@
 
 
 TROUBLES = [lose_datagrams, delay_news, cut_off_nodes, cut_off_one_way, restart_nodes]
+
+
+def build_cases(sizes, *, large_seed):
+    """Return cases of trouble, size and seed; most run only with ``--long``.
+
+    :param sizes: a small, a medium and a large fleet.
+    :param large_seed: seed of the cases with the large fleet.
+    """
+    small, medium, large = sizes
+    cases = [(trouble, small, 1) for trouble in TROUBLES]
+    cases += [(trouble, medium, 1) for trouble in TROUBLES[2:]]
+    long_cases = [(trouble, medium, 1) for trouble in TROUBLES[:2]]
+    long_cases += [(trouble, large, large_seed) for trouble in TROUBLES]
+    long_cases += [
+        (trouble, size, seed)
+        for trouble in TROUBLES
+        for size in (small, medium)
+        for seed in (2, 3, 4, 5)
+    ]
+    return cases + [pytest.param(*case, marks=pytest.mark.long) for case in long_cases]
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -17,7 +17,7 @@
 from tests.deployment import run_scenario
 from tests.deployment import wait_until
 from tests.fleet_troubles import STABILITY_S
-from tests.fleet_troubles import TROUBLES
+from tests.fleet_troubles import build_cases
 from tests.node_simulation import HOST
 from tests.node_simulation import run_simulation
 
@@ -71,21 +71,7 @@
 long = pytest.mark.long
 
 
-@pytest.mark.parametrize(
-    ("trouble", "size", "seed"),
-    [
-        *[(trouble, SMALL, 1) for trouble in TROUBLES],
-        *[(trouble, MEDIUM, 1) for trouble in TROUBLES[2:]],
-        *[pytest.param(trouble, MEDIUM, 1, marks=long) for trouble in TROUBLES[:2]],
-        *[pytest.param(trouble, LARGE, 1, marks=long) for trouble in TROUBLES],
-        *[
-            pytest.param(trouble, size, seed, marks=long)
-            for trouble in TROUBLES
-            for size in (SMALL, MEDIUM)
-            for seed in (2, 3, 4, 5)
-        ],
-    ],
-)
+@pytest.mark.parametrize(("trouble", "size", "seed"), build_cases(SIZES, large_seed=1))
 def test_crashing_request_is_refused_beside_trouble_between_nodes(trouble, size, seed):
     node_count, server_count, requests_per_s = size
 
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -16,7 +16,7 @@
 from jasmineseam.routing.request_shares import compute_share
 from jasmineseam.routing.request_shares import rank_node
 from tests.fleet_troubles import STABILITY_S
-from tests.fleet_troubles import TROUBLES
+from tests.fleet_troubles import build_cases
 from tests.fleet_troubles import cut_off_nodes
 from tests.fleet_troubles import restart_nodes
 from tests.node_simulation import get_time
@@ -120,17 +120,8 @@
 @pytest.mark.parametrize(
     ("trouble", "size", "seed"),
     [
-        *[(trouble, SMALL, 1) for trouble in TROUBLES],
-        *[(trouble, MEDIUM, 1) for trouble in TROUBLES[2:]],
         (cut_off_nodes, LARGE, 1),
-        *[pytest.param(trouble, MEDIUM, 1, marks=long) for trouble in TROUBLES[:2]],
-        *[pytest.param(trouble, LARGE, 2, marks=long) for trouble in TROUBLES],
-        *[
-            pytest.param(trouble, size, seed, marks=long)
-            for trouble in TROUBLES
-            for size in (SMALL, MEDIUM)
-            for seed in (2, 3, 4, 5)
-        ],
+        *build_cases(SIZES, large_seed=2),
     ],
 )
 def test_limit_is_kept_beside_trouble_between_nodes(trouble, size, seed):
