Log and export when no server of a service can be reached

From the lines of one node, a lost path looked like failed servers: ejections are not logged, and no metric counts connections that could not be opened. Servers that fail in a row, without a sign of life of any other, now put the path in doubt; new connections to up to three servers decide. The log says when a path is lost and back; paths.lost, paths.losses and connections.failed are exported. No decision uses it yet.

--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -45,6 +45,7 @@
 from .listeners import HttpListeners
 from .load_prober import LoadProber
 from .metrics import add_node_metrics
+from .path_checker import PathChecker
 
 MAINTENANCE_INTERVAL_S = 0.5
 DRAIN_POLL_INTERVAL_S = 0.02
@@ -113,6 +114,9 @@
             request_log=self.request_log,
             caller_round_trip_s=options.caller_round_trip_s,
         )
+        self.path_checker = PathChecker(
+            dispatchers=self.gateway.dispatchers, get_connections=lambda: self.gateway.connections
+        )
         self._notices = FleetNotices(gateway=self.gateway, registry=self.registry)
         self.gateway.on_server_leaving = self._notices.report_departure
         self.gateway.on_request_limit = self._notices.report_request_limit
@@ -204,6 +208,7 @@
             self.meter_provider,
             gateway=self.gateway,
             prober=self.prober,
+            path_checker=self.path_checker,
             registry=self.registry,
             request_log=self.request_log,
             output=self._output,
@@ -268,6 +273,7 @@
         """Close all listeners, connections and the metadata store."""
         self.fleet.close()
         self.state_sync.close()
+        self.path_checker.close()
         self.datagrams.close()
         if self._listeners is not None:
             await self._listeners.close()
@@ -287,6 +293,7 @@
             "servers_age_s": round(self.registry.get_list_age_s(), 3),
             "in_flight": self.gateway.in_flight,
             "request_shares": self.gateway.dispatchers.get_request_shares(),
+            "lost_paths": self.path_checker.list_lost_services(),
             "quarantined": self.gateway.attempts.quarantine.count_quarantined(),
             "task_restarts": dict(self.task_restarts),
             "outcomes": dict(self.gateway.outcome_counts),
--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -64,6 +64,8 @@
         self._by_service: dict[str, Dispatcher] = {}
         # Called with a dispatcher when one of its requests has to wait for a server.
         self.on_queued: t.Callable[[Dispatcher], None] = lambda dispatcher: None
+        # Called with a dispatcher whose path to its servers is in doubt.
+        self.on_path_doubt: t.Callable[[Dispatcher], None] = lambda dispatcher: None
         # Number of all nodes, and of those in this node's failure domain.
         self.node_count = 1
         self._local_node_count = 1
@@ -83,6 +85,7 @@
                 rng=self._rng,
             )
             dispatcher.on_queued = self.on_queued
+            dispatcher.path.on_doubt = lambda: self.on_path_doubt(dispatcher)
             self._by_service[service] = dispatcher
             self._refresh_dispatcher(dispatcher)
         return dispatcher
@@ -270,6 +273,7 @@
             load.warmup_ends_at = registered.warmup_ends_at
             loads[server.server_id] = load
         dispatcher.loads = loads
+        dispatcher.path.server_count = len(loads)
 
     def _choose_subset(self, dispatcher: Dispatcher, usable: list[RegisteredServer]) -> set[str]:
         """Choose the servers that this node uses."""
--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -37,6 +37,10 @@
 MIN_REPORT_AGE_S = 0.01
 # Part of the limit on probes to a server that the nodes use; their number is only an estimate.
 USABLE_LIMIT_FRACTION = 0.8
+# A probe without a response after this time puts the path to the service in doubt, in seconds.
+SILENCE_S = 0.1
+# If the timer for this fires later than this, the node itself was delayed, in seconds.
+MAX_TIMER_DELAY_S = 0.05
 _logger = logbook.Logger("probes")
 
 
@@ -139,12 +143,24 @@
         return task
 
     async def _run_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> None:
+        path = dispatcher.path
+        started_at = time.monotonic()
+
+        def record_silence() -> None:
+            if time.monotonic() - started_at < SILENCE_S + MAX_TIMER_DELAY_S:
+                path.record_failure(load.server_id, started_at)
+
+        silence_timer = asyncio.get_running_loop().call_later(SILENCE_S, record_silence)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 await self._send_probe(dispatcher, load)
         except (AttemptError, TimeoutError) as error:
             self.failed_count += 1
             load.unanswered_probe = True
+            if isinstance(error, AttemptNotRunError):
+                path.record_connect_failure(load.server_id, started_at)
+            else:
+                path.record_failure(load.server_id, started_at)
             if isinstance(error, AttemptNotRunError):
                 load.eject(time.monotonic())
             _logger.debug(
@@ -152,6 +168,8 @@
                 load.server_id,
                 error,
             )
+        finally:
+            silence_timer.cancel()
 
     async def _send_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> None:
         table = self._gateway.routing_table
@@ -161,6 +179,8 @@
             return
         connections = self._gateway.connections
         connection = await connections.acquire(load.address)
+        if not connection.reused:
+            dispatcher.path.record_connection()
         headers: CIMultiDict[str] = CIMultiDict({"Host": load.address})
         complete = False
         try:
@@ -169,6 +189,7 @@
             await connection.send("GET", service.health_path, headers, b"")
             exchange = await connection.receive_head(self._decode_probe_head)
             observed_at = time.monotonic()
+            dispatcher.path.record_response()
             head = exchange.head
             _, complete = await connection.read_body(
                 exchange, MAX_PROBE_BODY_BYTES, self._response_memory
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -12,6 +12,7 @@
 from ..operations.request_log import RequestLog
 from .gateway import Gateway
 from .load_prober import LoadProber
+from .path_checker import PathChecker
 
 REQUEST_DURATION_BUCKET_BOUNDS_S = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
 
@@ -21,6 +22,7 @@
     *,
     gateway: Gateway,
     prober: LoadProber,
+    path_checker: PathChecker,
     registry: ServerRegistry,
     request_log: RequestLog,
     output: LineOutput,
@@ -52,6 +54,15 @@
     def read_opened_connections():
         return [(gateway.connections.opened_count, {})]
 
+    def read_failed_connections():
+        return [(gateway.connections.failed_count, {})]
+
+    def read_lost_paths():
+        return [(1, {"service": service}) for service in path_checker.list_lost_services()]
+
+    def read_path_losses():
+        return [(path_checker.lost_count, {})]
+
     def read_server_list_age():
         return [(registry.get_list_age_s(), {})]
 
@@ -81,6 +92,9 @@
     add_counter(provider, "probes", "1", "Probes of servers.", read_probes)
     add_counter(provider, "log.dropped", "1", "Log lines left out.", read_dropped_lines)
     add_counter(provider, "connections", "1", "Opened to servers.", read_opened_connections)
+    add_counter(
+        provider, "connections.failed", "1", "Not opened to servers.", read_failed_connections
+    )
     add_gauge(provider, "requests.in_flight", "1", "Requests held.", read_in_flight)
     add_gauge(provider, "requests.queued", "1", "Requests that wait.", read_queued)
     add_gauge(
@@ -95,4 +109,6 @@
     )
     add_gauge(provider, "requests.quarantined", "1", "They crash servers.", read_quarantined)
     add_counter(provider, "crashes", "1", "Of servers under requests of this node.", read_crashes)
+    add_gauge(provider, "paths.lost", "1", "Services out of reach.", read_lost_paths)
+    add_counter(provider, "paths.losses", "1", "Of paths to services.", read_path_losses)
     add_gauge(provider, "servers.age", "s", "Age of the list of servers.", read_server_list_age)
--- /dev/null
+++ b/src/jasmineseam/node/path_checker.py
@@ -0,0 +1,109 @@
+"""Checks of this node's paths to the servers of its services, by opening connections."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import typing as t
+
+import logbook
+
+from ..routing.dispatch import Dispatcher
+from ..routing.load import ServerLoad
+from ..transport.connection_pool import ConnectionPool
+from .dispatchers import Dispatchers
+
+# number of servers that one check connects to
+SERVERS_PER_CHECK = 3
+CONNECT_TIMEOUT_S = 0.2
+# interval between two checks of a lost path; drawn between 0.8 and 1.2 times this
+CHECK_INTERVAL_S = 0.25
+# servers that must accept a connection before a lost path is used again, unless there are fewer
+ACCEPTING_SERVERS_TO_RETURN = 2
+_logger = logbook.Logger("paths")
+
+
+class PathChecker:
+    """Verifies paths that are in doubt, and finds out when lost paths are back.
+
+    :param dispatchers: the dispatchers, with the path of each service.
+    :param get_connections: returns the pool of connections to servers.
+    """
+
+    def __init__(
+        self, *, dispatchers: Dispatchers, get_connections: t.Callable[[], ConnectionPool]
+    ) -> None:
+        self._dispatchers = dispatchers
+        self._get_connections = get_connections
+        self._rng = random.Random()
+        self._tasks: dict[str, asyncio.Task] = {}
+        self.lost_count = 0
+        # Called with a dispatcher whose path was lost or is back.
+        self.on_change: t.Callable[[Dispatcher], None] = lambda dispatcher: None
+        dispatchers.on_path_doubt = self._handle_doubt
+
+    def list_lost_services(self) -> list[str]:
+        """Return the services that this node does not reach."""
+        return sorted(
+            dispatcher.service
+            for dispatcher in self._dispatchers.list_all()
+            if dispatcher.path.lost
+        )
+
+    def close(self) -> None:
+        """Stop all checks."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _handle_doubt(self, dispatcher: Dispatcher) -> None:
+        if dispatcher.service in self._tasks:
+            return
+        task = asyncio.create_task(self._verify(dispatcher))
+        self._tasks[dispatcher.service] = task
+        task.add_done_callback(lambda _: self._tasks.pop(dispatcher.service, None))
+
+    async def _verify(self, dispatcher: Dispatcher) -> None:
+        """Check a path that is in doubt; if it is lost, wait until it is back."""
+        path = dispatcher.path
+        if await self._count_accepting(dispatcher) > 0:
+            path.dismiss_doubt()
+            return
+        path.mark_lost()
+        lost_at = time.monotonic()
+        self.lost_count += 1
+        _logger.warning(
+            "No server of service {} accepts a connection of this node; checking again every "
+            "{:g} s.",
+            dispatcher.service,
+            CHECK_INTERVAL_S,
+        )
+        self.on_change(dispatcher)
+        while not await self._is_back(dispatcher):
+            await asyncio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.8, 1.2))
+        path.mark_returned()
+        _logger.info(
+            "Servers of service {} accept connections again after {:.2f} s.",
+            dispatcher.service,
+            time.monotonic() - lost_at,
+        )
+        self.on_change(dispatcher)
+
+    async def _is_back(self, dispatcher: Dispatcher) -> bool:
+        if not dispatcher.loads:
+            return True
+        needed = min(ACCEPTING_SERVERS_TO_RETURN, len(dispatcher.loads))
+        return await self._count_accepting(dispatcher) >= needed
+
+    async def _count_accepting(self, dispatcher: Dispatcher) -> int:
+        """Return how many of a few servers accept a new connection."""
+        loads = list(dispatcher.loads.values())
+        sample = self._rng.sample(loads, min(SERVERS_PER_CHECK, len(loads)))
+        results = await asyncio.gather(*(self._check(dispatcher, load) for load in sample))
+        return sum(results)
+
+    async def _check(self, dispatcher: Dispatcher, load: ServerLoad) -> bool:
+        accepts = await self._get_connections().check(load.address, CONNECT_TIMEOUT_S)
+        if accepts:
+            dispatcher.path.record_connection()
+        return accepts
--- a/src/jasmineseam/node/server_client.py
+++ b/src/jasmineseam/node/server_client.py
@@ -17,6 +17,7 @@
 from ..requests.protocol import ResponseHead
 from ..requests.protocol import ServerResponse
 from ..routing.load import ServerLoad
+from ..routing.service_path import ServicePath
 from ..transport.connection_pool import ConnectionPool
 from ..transport.response_memory import ResponseMemory
 from ..transport.server_connection import ServerConnection
@@ -95,12 +96,14 @@
         except AttemptError as error:
             result = error.reason
             self._record_failure(load, error)
+            _record_path_failure(dispatcher.path, load, error.reason, started_at)
             if error.reason in BROKEN_CONNECTION_REASONS:
                 self._on_connection_broken(proxied, load)
             raise
         except asyncio.CancelledError:
             if time.monotonic() >= proxied.deadline_at:
                 result = "deadline"
+                dispatcher.path.record_failure(load.server_id, started_at)
             raise
         finally:
             load.finish_request(in_flight_token)
@@ -115,6 +118,8 @@
     ) -> ServerResponse:
         max_idle_s = float("inf") if proxied.route.idempotent else NON_IDEMPOTENT_MAX_IDLE_S
         connection = await self.connections.acquire(load.address, max_idle_s)
+        if not connection.reused:
+            proxied.dispatcher.path.record_connection()
         response = None
         try:
             proxied.attempt_count += 1
@@ -159,6 +164,7 @@
 
         exchange = await connection.receive_head(decode_head)
         observed_at = time.monotonic()
+        proxied.dispatcher.path.record_response()
         head = exchange.head
         report = head.report
         if report is not None:
@@ -193,3 +199,12 @@
         load.record_outcome(True, now)
         if error.reason in ("connect", "misdirected"):
             load.eject(now)
+
+
+def _record_path_failure(
+    path: ServicePath, load: ServerLoad, reason: str, started_at: float
+) -> None:
+    if reason == "connect":
+        path.record_connect_failure(load.server_id, started_at)
+    elif reason in BROKEN_CONNECTION_REASONS:
+        path.record_failure(load.server_id, started_at)
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -22,6 +22,7 @@
 from .placement import ServerEstimate
 from .placement import SlownessEwma
 from .placement import choose_servers
+from .service_path import ServicePath
 
 QUEUE_RECHECK_INTERVAL_S = 0.01
 # fraction of the slots reserved for feasible requests while all arriving requests are feasible
@@ -92,6 +93,7 @@
         self._clock = clock
         self._rng = rng
         self.loads: dict[str, ServerLoad] = {}
+        self.path = ServicePath(clock=clock)
         self.average_slowness = SlownessEwma()
         self.service_time_s = DEFAULT_SERVICE_TIME_S
         self._service_time_s_by_route: dict[str, float] = {}
--- a/src/jasmineseam/transport/connection_pool.py
+++ b/src/jasmineseam/transport/connection_pool.py
@@ -22,6 +22,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[ServerConnection]] = {}
         self.opened_count = 0
+        self.failed_count = 0
 
     async def acquire(self, address: str, max_idle_s: float = float("inf")) -> ServerConnection:
         """Return an idle connection, or open a new one.
@@ -41,12 +42,30 @@
                 break
             idle.pop()
             if usable:
+                connection.reused = True
                 return connection
             connection.close()
-        connection = await open_connection(address, self._connect_timeout_s)
+        try:
+            connection = await open_connection(address, self._connect_timeout_s)
+        except AttemptNotRunError:
+            self.failed_count += 1
+            raise
         self.opened_count += 1
         return connection
 
+    async def check(self, address: str, timeout_s: float) -> bool:
+        """Return whether a server accepts a new connection, which is added to the pool.
+
+        :param timeout_s: maximum time to open the connection, in seconds.
+        """
+        try:
+            connection = await open_connection(address, timeout_s)
+        except AttemptNotRunError:
+            return False
+        self.opened_count += 1
+        self.release(address, connection)
+        return True
+
     async def is_refused(self, address: str) -> bool:
         """Return whether a server refuses connections, as after the end of its process.
 
--- a/src/jasmineseam/transport/server_connection.py
+++ b/src/jasmineseam/transport/server_connection.py
@@ -131,13 +131,15 @@
     :param now: current monotonic time, in seconds.
     """
 
-    __slots__ = ("_protocol", "idle_limit_s", "last_used_at", "request_count")
+    __slots__ = ("_protocol", "idle_limit_s", "last_used_at", "request_count", "reused")
 
     def __init__(self, *, protocol: _ConnectionProtocol, now: float) -> None:
         self._protocol = protocol
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.last_used_at = now
         self.request_count = 0
+        # whether the connection was opened before its current use
+        self.reused = False
 
     @property
     def is_reusable(self) -> bool:
