Simulate cuts between nodes and servers, with connections that are reused

New connections hang or are reset; open ones break, hang until the end of the cut, or go on working; single services or all; several cuts may overlap.

--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -12,6 +12,7 @@
 import itertools
 import random
 import time
+import weakref
 from unittest import mock
 
 from multidict import CIMultiDict
@@ -46,6 +47,7 @@
 
 HOST = "fit.example"
 SERVICE = "fit"
+OTHER_SERVICE = "cut"
 HEALTH_PATH = "/healthz"
 DOMAINS = ("d1", "d2", "d3")
 CONTACT_COUNT = 3
@@ -77,11 +79,13 @@
     """A server with slots that records its requests, may name a limit and may crash.
 
     :param name: the server's id in its first start; each later start has a new one.
+    :param service: the service that the server belongs to.
     :param work_s: mean processing time of a request, in seconds.
     """
 
-    def __init__(self, *, name, simulation, domain, work_s, slots=4):
+    def __init__(self, *, name, simulation, domain, work_s, slots=4, service=SERVICE):
         self.name = name
+        self.service = service
         self.server_id = name
         self.domain = domain
         self.slots = slots
@@ -116,7 +120,7 @@
         """Return the listing of the current start."""
         server = Server(
             server_id=self.server_id,
-            service=SERVICE,
+            service=self.service,
             address=self.address,
             failure_domain=self.domain,
             leaving=False,
@@ -159,22 +163,24 @@
             return 421, {}
         exchange = asyncio.get_running_loop().create_future()
         self._exchanges.add(exchange)
-        work = asyncio.create_task(self._work(path, exchange))
+        request_id = headers["Jasmineseam-Request-Id"]
+        work = asyncio.create_task(self._work(path, request_id, exchange))
         try:
             await exchange
         finally:
             self._exchanges.discard(exchange)
             work.cancel()
         response_headers = {
-            "Jasmineseam-Request-Id": headers["Jasmineseam-Request-Id"],
+            "Jasmineseam-Request-Id": request_id,
             "Jasmineseam-Response-Signature": "1.2.3",
         }
         return 200, response_headers
 
-    async def _work(self, path, exchange):
+    async def _work(self, path, request_id, exchange):
         free_slots = self._free_slots
         async with free_slots:
             self.running += 1
+            self._simulation.run_counts[request_id] += 1
             try:
                 work_s = self.work_s * self._simulation.rng.uniform(0.5, 1.5)
                 if self._simulation.crashes_on(path):
@@ -200,36 +206,69 @@
             self._told_at.setdefault(node.start_id, get_time())
 
 
+class PathCut:
+    """A cut between some nodes and the servers of some services.
+
+    :param names: names of the nodes that are cut off.
+    :param services: the services out of reach.
+    :param connecting: what new connections do: ``hang`` or ``reset``.
+    :param established: what open connections do: ``break``, ``hang`` until the cut ends, or
+        ``work``.
+    """
+
+    def __init__(self, *, names, services, connecting, established):
+        self.names = names
+        self.services = services
+        self.connecting = connecting
+        self.established = established
+        self.ended = asyncio.Event()
+
+    def applies(self, node_name, server):
+        """Return whether the cut lies between a node and a server."""
+        return (
+            not self.ended.is_set() and node_name in self.names and server.service in self.services
+        )
+
+
 class _Connection:
-    """A connection of one node to one server, for one request."""
+    """A connection of one node to one server."""
 
     def __init__(self, *, node, server):
         self._node = node
-        self._server = server
+        self.server = server
         self._start_id = server.server_id
         self._request = None
+        self.broken = asyncio.get_running_loop().create_future()
+        self.reused = False
+
+    def is_usable(self):
+        """Return whether the connection is open, as far as the node knows."""
+        return not self.broken.done() and self._is_open_at_server()
+
+    def _is_open_at_server(self):
+        return not self.server.down and self.server.server_id == self._start_id
 
     async def send(self, method, path, headers, body):
-        if self._server.down or self._server.server_id != self._start_id:
+        if not self.is_usable():
             raise AttemptNotRunError("closed-before-sending")
-        await self._node.simulation.travel(self._node, self._server)
+        await self._run_until_broken(self._travel())
         self._request = (path, dict(headers))
         if path != HEALTH_PATH:
-            self._server.record_arrival(self._node, path)
+            self.server.record_arrival(self._node, path)
 
     async def receive_head(self, decode):
         path, request_headers = self._request
         if path == HEALTH_PATH:
-            if self._server.down:
+            if not self._is_open_at_server():
                 raise AttemptOutcomeUnknownError("no-response")
-            status, headers = 200, {"Jasmineseam-Instance-Id": self._server.server_id}
+            status, headers = 200, {"Jasmineseam-Instance-Id": self.server.server_id}
         else:
-            status, headers = await self._server.run(path, request_headers)
-        headers.update(self._server.build_notices())
+            status, headers = await self._run_until_broken(self.server.run(path, request_headers))
+        headers.update(self.server.build_notices())
         names_limit = path != HEALTH_PATH and status == 200
-        await self._node.simulation.travel(self._node, self._server)
+        await self._run_until_broken(self._travel())
         if names_limit:
-            self._server.record_told(self._node)
+            self.server.record_told(self._node)
         head = decode(status, CIMultiDict(headers))
         return IncomingResponse(status, head, "", CIMultiDict(headers), None)
 
@@ -237,33 +276,81 @@
         return b"ok", True
 
     def close(self):
-        pass
+        if not self.broken.done():
+            self.broken.set_result(None)
+
+    async def _travel(self):
+        simulation = self._node.simulation
+        while (cut := simulation.find_path_cut(self._node.name, self.server)) is not None:
+            if cut.established == "work":
+                break
+            await cut.ended.wait()
+        await simulation.travel()
+
+    async def _run_until_broken(self, coroutine):
+        """Run a coroutine; if the connection breaks first, a server goes on with its request."""
+        task = self._node.simulation.spawn(coroutine)
+        try:
+            await asyncio.wait({task, self.broken}, return_when=asyncio.FIRST_COMPLETED)
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+        if not task.done():
+            raise AttemptOutcomeUnknownError("no-response")
+        return task.result()
 
 
 class _ConnectionPool:
-    """Opens connections of one node to simulated servers."""
+    """Opens connections of one node to simulated servers, and keeps idle ones."""
+
+    CONNECT_TIMEOUT_S = 0.3
+    MAX_IDLE = 16
 
     def __init__(self, node):
         self._node = node
+        self._connections = weakref.WeakSet()
+        self._idle = collections.defaultdict(list)
         self.opened_count = 0
+        self.failed_count = 0
+        # times at which connections were opened
+        self.opened_at = []
 
     async def acquire(self, address, max_idle_s=float("inf")):
-        server = self._node.simulation.servers_by_address[address]
-        await self._node.simulation.travel(self._node, server)
-        if server.down:
-            raise AttemptNotRunError("connect")
-        return _Connection(node=self._node, server=server)
+        idle = self._idle[address]
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable():
+                connection.reused = True
+                return connection
+        return await self._open(address, self.CONNECT_TIMEOUT_S)
+
+    async def check(self, address, timeout_s):
+        try:
+            connection = await self._open(address, timeout_s)
+        except AttemptNotRunError:
+            return False
+        self.release(address, connection)
+        return True
 
     async def is_refused(self, address):
-        server = self._node.simulation.servers_by_address[address]
-        await self._node.simulation.travel(self._node, server)
-        return server.down
+        if any(connection.is_usable() for connection in self._idle[address]):
+            return False
+        try:
+            await self._open(address, self.CONNECT_TIMEOUT_S)
+        except AttemptNotRunError as error:
+            return isinstance(error.__cause__, ConnectionError)
+        return False
+
+    def has_idle(self, address):
+        return any(connection.is_usable() for connection in self._idle[address])
 
     def release(self, address, connection):
-        pass
+        idle = self._idle[address]
+        if len(idle) < self.MAX_IDLE:
+            idle.append(connection)
 
     def discard(self, address):
-        pass
+        self._idle.pop(address, None)
 
     def expire_connections(self, addresses):
         pass
@@ -271,6 +358,28 @@
     def close(self):
         pass
 
+    def break_connections(self, cut):
+        """Break all connections through a cut."""
+        for connection in list(self._connections):
+            if cut.applies(self._node.name, connection.server):
+                connection.close()
+
+    async def _open(self, address, timeout_s):
+        simulation = self._node.simulation
+        server = simulation.servers_by_address[address]
+        cut = simulation.find_path_cut(self._node.name, server)
+        if cut is not None and cut.connecting == "hang":
+            await asyncio.sleep(timeout_s)
+            raise AttemptNotRunError("connect")
+        await simulation.travel()
+        if server.down or cut is not None:
+            raise AttemptNotRunError("connect") from ConnectionRefusedError()
+        connection = _Connection(node=self._node, server=server)
+        self._connections.add(connection)
+        self.opened_count += 1
+        self.opened_at.append(get_time())
+        return connection
+
 
 class _Transport:
     """Sends a node's datagrams through the simulated network."""
@@ -414,6 +523,7 @@
             task.cancel()
         self.node.fleet.close()
         self.node.state_sync.close()
+        self.node.path_checker.close()
 
     async def handle(self, path, *, method, deadline_ms, request_id, remote):
         """Handle one request of a caller; return status and headers."""
@@ -439,22 +549,29 @@
 class Simulation:
     """Servers, nodes, callers and the network between them.
 
+    :param other_server_count: number of servers of a second service.
     :param seed: seed of all random numbers.
     :param loss: fraction of the datagrams between nodes that are lost.
     """
 
-    def __init__(self, *, node_count, server_count, seed=1, loss=0.0, work_s=0.08):
+    def __init__(
+        self, *, node_count, server_count, other_server_count=0, seed=1, loss=0.0, work_s=0.08
+    ):
         self.rng = random.Random(seed)
         self.delay_s = 0.001
         self.loss = loss
         self.is_cut = lambda sender, receiver: False
-        self.is_cut_from_server = lambda node, server: False
+        self._path_cuts = []
         # additional delay of datagrams by sender
         self.node_delays_s = collections.defaultdict(float)
         self.crashes_on = lambda path: False
         self.outcomes = []
         # time, status and duration of each response
         self.responses = []
+        # time, name of the node and status of the first attempt of each call
+        self.first_attempts = []
+        # runs of each request by its id
+        self.run_counts = collections.Counter()
         self.nodes = {}
         self._names_by_host = {}
         self._tasks = set()
@@ -465,8 +582,9 @@
                 simulation=self,
                 domain=DOMAINS[number % len(DOMAINS)],
                 work_s=work_s,
+                service=SERVICE if number < server_count else OTHER_SERVICE,
             )
-            for number in range(server_count)
+            for number in range(server_count + other_server_count)
         ]
         self.servers_by_address = {server.address: server for server in self.servers}
         self._position = StorePosition(1, 0)
@@ -541,10 +659,28 @@
         if self.nodes.get(receiver.name) is receiver:
             receiver.node.datagrams.datagram_received(data, (sender.name, 0))
 
-    async def travel(self, node, server):
+    def cut_paths(self, names, *, services=(SERVICE, OTHER_SERVICE), **modes):
+        """Cut nodes off from the servers of some services; return the cut.
+
+        :param names: names of the nodes.
+        :param modes: ``connecting`` and ``established`` of the :class:`PathCut`.
+        """
+        cut = PathCut(names=set(names), services=services, **modes)
+        self._path_cuts.append(cut)
+        if cut.established == "break":
+            for name in cut.names & set(self.nodes):
+                self.nodes[name].node.gateway.connections.break_connections(cut)
+        return cut
+
+    def find_path_cut(self, node_name, server):
+        """Return a cut between a node and a server, ``None`` if there is none."""
+        for cut in self._path_cuts:
+            if cut.applies(node_name, server):
+                return cut
+        return None
+
+    async def travel(self):
         """Take the time of one way between a node and a server."""
-        if self.is_cut_from_server(node.name, server.name):
-            await asyncio.sleep(3600.0)
         await asyncio.sleep(self.delay_s * self.rng.uniform(0.3, 0.7))
 
     async def send_request(
@@ -576,9 +712,12 @@
         for number in range(attempts):
             remaining_s = started_at + deadline_s - get_time()
             node = choose_node() if choose_node is not None else None
+            node = node or self.rng.choice(list(self.nodes.values()))
             status, headers = await self.send_request(
                 path, node=node, deadline_s=remaining_s, **options
             )
+            if number == 0:
+                self.first_attempts.append((started_at, node.name, status))
             if status != 503 or number == attempts - 1:
                 break
             remaining_s = started_at + deadline_s - get_time()
@@ -619,19 +758,21 @@
 
 
 def _build_table():
-    services = [ServiceInfo(name=SERVICE, health_path=HEALTH_PATH)]
+    services = [
+        ServiceInfo(name=name, health_path=HEALTH_PATH) for name in (SERVICE, OTHER_SERVICE)
+    ]
     routes = [
         Route(
             name=name,
             host=HOST,
             path_prefix=f"/{name}/",
-            idempotent=name == "safe",
-            services=[WeightedService(service=SERVICE)],
-            max_attempts=3 if name == "safe" else 2,
+            idempotent=name != "order",
+            services=[WeightedService(service=OTHER_SERVICE if name == "other" else SERVICE)],
+            max_attempts=2 if name == "order" else 3,
             target_s=0.5,
             timeout_s=1.5,
         )
-        for name in ("safe", "order")
+        for name in ("safe", "order", "other")
     ]
     return RoutingTable(version=1, routes=routes, services=services)
 
