Show that callers of nodes cut off from all servers are not served: a failing test

Fails at 6, 30 and 123 nodes, whether new connections hang or are reset, and whether open ones break, hang or go on working.

--- a/src/jasmineseam/routing/service_path.py
+++ b/src/jasmineseam/routing/service_path.py
@@ -13,16 +13,16 @@
 
 # number of different servers that must fail in a row, unless the service has fewer
 FAILED_SERVERS_TO_DOUBT = 3
-# Failed connections count for this time while there are responses on other connections, in seconds.
+# Failed connections count for this time, in seconds, while other connections have responses.
 CONNECT_FAILURE_LIFETIME_S = 2.0
-# A path that is back carries a growing fraction of the requests until this time has passed, so that
+# A path that is back carries a growing fraction of the requests for this time, in seconds, so that
 # the servers do not get all of them, and new connections for them, at once.
 RETURN_RAMP_S = 2.0
 MIN_RETURN_FRACTION = 0.1
 
 
 class ServicePath:
-    """This node's path to the servers of one service.
+    """The path of this node to the servers of one service.
 
     :param clock: returns monotonic time in seconds.
     """
--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -570,6 +570,9 @@
         self.responses = []
         # time, name of the node and status of the first attempt of each call
         self.first_attempts = []
+        # ids of the requests that must not run more than once
+        self.order_ids = set()
+        self.retry_after_s = []
         # runs of each request by its id
         self.run_counts = collections.Counter()
         self.nodes = {}
@@ -684,17 +687,27 @@
         await asyncio.sleep(self.delay_s * self.rng.uniform(0.3, 0.7))
 
     async def send_request(
-        self, path=None, *, node=None, method="GET", remote="100.64.0.1", deadline_s=1.5
+        self,
+        path=None,
+        *,
+        kind="safe",
+        node=None,
+        method="GET",
+        remote="100.64.0.1",
+        deadline_s=1.5,
     ):
         """Send one request; return its status and headers, 0 if the node was killed."""
         number = next(self._request_ids)
+        path = path or f"/{kind}/{number}"
+        if path.startswith("/order/"):
+            self.order_ids.add(f"q{number}")
         if node is None:
             node = self.rng.choice(list(self.nodes.values()))
         started_at = get_time()
         try:
             async with asyncio.timeout(deadline_s):
                 status, headers = await node.handle(
-                    path or f"/safe/{number}",
+                    path,
                     method=method,
                     deadline_ms=1000 * deadline_s,
                     request_id=f"q{number}",
@@ -703,6 +716,8 @@
         except TimeoutError:
             return 0, {}
         self.responses.append((started_at, status, get_time() - started_at))
+        if "Retry-After" in headers:
+            self.retry_after_s.append(float(headers["Retry-After"]))
         return status, headers
 
     async def call(self, path=None, *, choose_node=None, attempts=2, deadline_s=1.5, **options):
--- /dev/null
+++ b/tests/test_lost_paths.py
@@ -0,0 +1,156 @@
+"""Nodes that are cut off from servers which other nodes reach."""
+
+import asyncio
+
+import pytest
+
+from tests.node_simulation import OTHER_SERVICE
+from tests.node_simulation import SERVICE
+from tests.node_simulation import run_simulation
+from tests.path_cuts import CUT_MODES
+from tests.path_cuts import assert_run_once
+from tests.path_cuts import assert_served_as_others
+from tests.path_cuts import choose_all_but_one
+from tests.path_cuts import choose_domain
+from tests.path_cuts import choose_half
+from tests.path_cuts import choose_one_node
+from tests.path_cuts import count_crash_reports
+from tests.path_cuts import count_first_attempts
+from tests.path_cuts import cut_for
+from tests.path_cuts import list_ejections
+
+SIZES = [(6, 12, 60.0), (30, 30, 120.0), (123, 60, 240.0)]
+SMALL, MEDIUM, LARGE = SIZES
+HANG, RESET = CUT_MODES[1], CUT_MODES[3]
+long = pytest.mark.long
+
+
+async def send_load(simulation, requests_per_s, duration_s):
+    """Send requests that may be repeated, and some that must not be."""
+    await asyncio.gather(
+        simulation.send_load(0.7 * requests_per_s, duration_s),
+        simulation.send_load(0.3 * requests_per_s, duration_s, kind="order"),
+    )
+
+
+CASES = [
+    *[(SMALL, choose_half, modes) for modes in CUT_MODES],
+    (SMALL, choose_one_node, HANG),
+    (SMALL, choose_domain, RESET),
+    (SMALL, choose_all_but_one, HANG),
+    (MEDIUM, choose_half, HANG),
+    (MEDIUM, choose_domain, RESET),
+    (LARGE, choose_half, HANG),
+    *[
+        pytest.param(size, choose, modes, marks=long)
+        for size in SIZES
+        for choose in (choose_one_node, choose_domain, choose_half, choose_all_but_one)
+        for modes in CUT_MODES
+    ],
+]
+
+
+@pytest.mark.parametrize(("size", "choose_names", "modes"), CASES)
+def test_callers_of_nodes_cut_off_from_all_servers_are_served_as_at_other_nodes(
+    size, choose_names, modes
+):
+    node_count, server_count, requests_per_s = size
+
+    async def scenario(simulation):
+        names = choose_names(simulation)
+        load = simulation.spawn(send_load(simulation, requests_per_s, 14.0))
+        await asyncio.sleep(2.0)
+        since, until = await cut_for(simulation, names, 8.0, **modes)
+        ejections = list_ejections(simulation, names)
+        await load
+        assert_served_as_others(simulation, names, since, until)
+        assert_run_once(simulation)
+        assert ejections == {}
+        assert count_crash_reports(simulation) == 0
+        served, sent = count_first_attempts(simulation, names, until, until + 3.0)
+        assert served / sent > 0.98
+
+    run_simulation(scenario, node_count=node_count, server_count=server_count)
+
+
+@pytest.mark.parametrize("modes", [HANG, RESET])
+def test_callers_are_served_while_single_services_are_out_of_reach(modes):
+    async def scenario(simulation):
+        names = choose_half(simulation)
+        load = simulation.spawn(send_load(simulation, 30.0, 12.0))
+        other_load = simulation.spawn(simulation.send_load(30.0, 12.0, kind="other"))
+        await asyncio.sleep(2.0)
+        since, until = await cut_for(simulation, names, 8.0, services=(OTHER_SERVICE,), **modes)
+        await asyncio.gather(load, other_load)
+        assert_served_as_others(simulation, names, since, until)
+        served, sent = count_first_attempts(simulation, names, since, until)
+        assert served / sent > 0.98
+        assert_run_once(simulation)
+
+    run_simulation(scenario, node_count=6, server_count=8, other_server_count=4)
+
+
+def test_callers_are_served_while_cuts_overlap_and_end_one_after_the_other():
+    async def scenario(simulation):
+        names = list(simulation.nodes)
+        load = simulation.spawn(send_load(simulation, 60.0, 24.0))
+        await asyncio.sleep(2.0)
+
+        async def cut_later(delay_s, cut_names, duration_s, **options):
+            await asyncio.sleep(delay_s)
+            return cut_names, await cut_for(simulation, cut_names, duration_s, **options)
+
+        checked = await asyncio.gather(
+            cut_later(0.0, names[:2], 8.0, **HANG),
+            cut_later(3.0, names[1:4], 8.0, **RESET),
+            cut_later(6.0, names[3:5], 8.0, **CUT_MODES[0]),
+            cut_later(9.0, names[0:1], 6.0, services=(SERVICE,), **CUT_MODES[5]),
+        )
+        await load
+        for cut_names, (since, until) in checked:
+            assert_served_as_others(simulation, cut_names, since, until)
+        assert_run_once(simulation)
+        assert count_crash_reports(simulation) == 0
+
+    run_simulation(scenario, node_count=6, server_count=12)
+
+
+@pytest.mark.parametrize("modes", [CUT_MODES[0], HANG, RESET])
+def test_requests_are_refused_at_once_while_no_node_reaches_a_server(modes):
+    async def scenario(simulation):
+        names = set(simulation.nodes)
+        load = simulation.spawn(send_load(simulation, 60.0, 14.0))
+        await asyncio.sleep(2.0)
+        since, until = await cut_for(simulation, names, 8.0, **modes)
+        await load
+        refused = [
+            (status, duration_s)
+            for at, status, duration_s in simulation.responses
+            if since <= at < until - 0.5
+        ]
+        assert {status for status, _ in refused} == {503}
+        durations_s = sorted(duration_s for _, duration_s in refused)
+        assert durations_s[len(durations_s) * 99 // 100] < 0.1
+        assert all(0.0 < retry_after_s <= 2.0 for retry_after_s in simulation.retry_after_s)
+        served, sent = count_first_attempts(simulation, names, until + 1.0, until + 4.0)
+        assert served / sent > 0.98
+        assert_run_once(simulation)
+        assert count_crash_reports(simulation) == 0
+
+    run_simulation(scenario, node_count=6, server_count=12)
+
+
+def test_open_connections_are_used_while_no_node_can_open_new_ones():
+    async def scenario(simulation):
+        names = set(simulation.nodes)
+        load = simulation.spawn(send_load(simulation, 60.0, 14.0))
+        await asyncio.sleep(4.0)
+        since, until = await cut_for(
+            simulation, names, 6.0, connecting="reset", established="work"
+        )
+        await load
+        served, sent = count_first_attempts(simulation, names, since, until)
+        assert served / sent > 0.9
+        assert_run_once(simulation)
+
+    run_simulation(scenario, node_count=6, server_count=12)
