Relay requests through another node while the path to the servers is lost

A node whose path to a service is lost now sends its requests through another node: one hop, with the remaining deadline, attempts and excluded servers; the relaying node applies its limits, quarantine and retry budget, and counts the request for the budget unless the sender has. Requests that may be repeated and hang at the start of a cut are relayed within the budget. A request is cancelled at the relaying node when its caller leaves. If no node reaches the service, it is refused at once.

--- a/src/jasmineseam/exceptions.py
+++ b/src/jasmineseam/exceptions.py
@@ -145,6 +145,10 @@
         super().__init__(f"not run: {reason}")
 
 
+class PathLostError(NotRunError):
+    """The request was not run because this node can't reach the servers of its service."""
+
+
 class UnknownOutcomeError(RequestError):
     """It is unknown whether the request was run.
 
--- a/src/jasmineseam/fleet/state_sync.py
+++ b/src/jasmineseam/fleet/state_sync.py
@@ -138,7 +138,6 @@
         self._sources: dict[str, tuple[NodeInfo, StateDigest]] = {}
         self._rng = random.Random()
         self._task: asyncio.Task | None = None
-        self._used_at: dict[str, float] = {}
         self._compressed_table = (NO_TABLE_VERSION, b"")
         self.request_count = 0
         self._notices_requested_at = float("-inf")
@@ -199,13 +198,7 @@
 
     def close_idle_connections(self) -> None:
         """Close connections to nodes that have not been used for some time."""
-        now = time.monotonic()
-        self._used_at = {
-            address: used_at
-            for address, used_at in self._used_at.items()
-            if now - used_at < IDLE_CONNECTION_S
-        }
-        self._peer_clients.close_except(set(self._used_at))
+        self._peer_clients.close_idle(IDLE_CONNECTION_S)
 
     def close(self) -> None:
         """Stop a running request."""
@@ -263,7 +256,6 @@
         self.request_count += 1
         self._notices_requested_at = time.monotonic()
         address = source.peer_address
-        self._used_at[address] = time.monotonic()
         request = StateRequest(
             table_version=self._get_table_version(), servers_position=self._registry.position
         )
--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 import typing as t
 
@@ -10,6 +11,7 @@
 from ..exceptions import AttemptNotRunError
 from ..exceptions import AttemptOutcomeUnknownError
 from ..exceptions import NotRunError
+from ..exceptions import PathLostError
 from ..exceptions import UnknownOutcomeError
 from ..membership.registry import ServerRegistry
 from ..operations.node_settings import RetryBudgetSettings
@@ -27,6 +29,7 @@
 from .crash_reports import CrashDetector
 from .dispatchers import Dispatchers
 from .proxied_request import ProxiedRequest
+from .relays import NoRelayError
 from .server_client import MIN_SERVER_ERROR_STATUS
 from .server_client import ServerClient
 
@@ -90,6 +93,9 @@
         self.refresh_loads: t.Callable[[Dispatcher, PlacementRequest], t.Awaitable[None]] = (
             _keep_loads
         )
+        # Runs a request through another node.
+        self.relay: t.Callable[[ProxiedRequest], t.Awaitable[ServerResponse]] = _find_no_relay
+        self._rng = random.Random()
 
     @property
     def connections(self) -> ConnectionPool:
@@ -113,7 +119,6 @@
         proxied.dispatcher = self._dispatchers.get(service)
         proxied.service_time_s = proxied.dispatcher.get_service_time_s(proxied.route.name)
         budget = self._get_retry_budget(service)
-        budget.record_request()
         try:
             async with asyncio.timeout_at(proxied.deadline_at):
                 return await self._run_attempts(proxied, budget)
@@ -148,6 +153,13 @@
             ):
                 break
             try:
+                if not self._draw_direct(proxied):
+                    response = await self._relay_or_return_none(proxied)
+                    if response is not None:
+                        return response
+                if not proxied.counted:
+                    proxied.counted = True
+                    budget.record_request()
                 if not is_trial and self._check_quarantine(proxied).trial:
                     is_trial = True
                     max_attempts = 1
@@ -156,6 +168,8 @@
                     # The request may have been quarantined while it waited for a server.
                     self._check_quarantine(proxied)
             except NotRunError as error:
+                if isinstance(error, PathLostError) and not proxied.relayed:
+                    continue
                 if last_result is None:
                     raise
                 proxied.attempt_trace.append(error.reason)
@@ -183,13 +197,33 @@
             last_result = response
         return self._return_or_raise_last_result(proxied, last_result)
 
+    def _draw_direct(self, proxied: ProxiedRequest) -> bool:
+        """Return whether this node sends the request to a server itself."""
+        return proxied.relayed or proxied.dispatcher.path.draw_direct(self._rng)
+
+    async def _relay_or_return_none(self, proxied: ProxiedRequest) -> ServerResponse | None:
+        """Return the response to a request that is sent through another node.
+
+        The result is ``None`` if no other node reaches the service, but this node does by now.
+
+        :raises NotRunError: if it was not run.
+        :raises UnknownOutcomeError: if its outcome is unknown.
+        """
+        try:
+            return await self.relay(proxied)
+        except NoRelayError:
+            if proxied.dispatcher.path.lost:
+                raise
+            return None
+
     async def _place_attempt(self, proxied: ProxiedRequest) -> ServerLoad:
         """Return the server of the next attempt, after waiting for one if necessary.
 
         :raises NotRunError: if there is none.
         """
         request = self._build_placement_request(proxied)
-        await self.refresh_loads(proxied.dispatcher, request)
+        if not proxied.dispatcher.path.lost:
+            await self.refresh_loads(proxied.dispatcher, request)
         return await proxied.dispatcher.place(request)
 
     def _check_quarantine(self, proxied: ProxiedRequest) -> Admission:
@@ -248,12 +282,24 @@
         started_at = time.monotonic()
 
         def start_hedge() -> t.Coroutine | None:
+            if dispatcher.path.lost and not proxied.relayed:
+                return send_relayed_hedge()
             now = time.monotonic()
             overdue = now - started_at > HEDGE_OVERDUE_FACTOR * proxied.service_time_s
             if not overdue and load.get_fresh_slowness(now) < HEDGE_MIN_SLOWNESS:
                 return None
             return send_probed_hedge()
 
+        async def send_relayed_hedge() -> ServerResponse:
+            if not budget.take_attempt():
+                raise AttemptNotRunError("no-hedge")
+            try:
+                return await self.relay(proxied)
+            except NotRunError as error:
+                raise AttemptNotRunError(error.reason) from error
+            except UnknownOutcomeError as error:
+                raise AttemptOutcomeUnknownError(error.reason) from error
+
         async def send_probed_hedge() -> ServerResponse:
             await self.refresh_loads(dispatcher, self._build_placement_request(proxied))
             time_to_target_s = proxied.target_at - time.monotonic()
@@ -289,6 +335,10 @@
         return budget
 
 
+async def _find_no_relay(proxied: ProxiedRequest) -> ServerResponse:
+    raise NoRelayError
+
+
 async def _keep_loads(dispatcher: Dispatcher, request: PlacementRequest) -> None:
     """Leave the load reports as they are."""
 
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -34,6 +34,8 @@
 from ..peers.messages import FleetMessage
 from ..peers.messages import Message
 from ..peers.messages import RefusedReply
+from ..peers.messages import RelayCancellation
+from ..peers.messages import RelayedRequest
 from ..peers.messages import ServersNotice
 from ..peers.messages import StateRequest
 from ..requests.protocol import HeaderCodec
@@ -46,6 +48,8 @@
 from .load_prober import LoadProber
 from .metrics import add_node_metrics
 from .path_checker import PathChecker
+from .relays import RelayClient
+from .relays import RelayServer
 
 MAINTENANCE_INTERVAL_S = 0.5
 DRAIN_POLL_INTERVAL_S = 0.02
@@ -117,6 +121,18 @@
         self.path_checker = PathChecker(
             dispatchers=self.gateway.dispatchers, get_connections=lambda: self.gateway.connections
         )
+        self.relay_client = RelayClient(
+            node_id=settings.vm.id,
+            header_codec=header_codec,
+            get_peer_client=lambda address: self.peer_clients.get(address),
+            list_candidates=self._list_relay_candidates,
+        )
+        self.gateway.attempts.relay = self.relay_client.run
+        self.relay_server = RelayServer(
+            run=self.gateway.attempts.run,
+            is_leaving=lambda: self._leaving,
+            record=self.gateway.record_relayed,
+        )
         self._notices = FleetNotices(gateway=self.gateway, registry=self.registry)
         self.gateway.on_server_leaving = self._notices.report_departure
         self.gateway.on_request_limit = self._notices.report_request_limit
@@ -218,6 +234,10 @@
         """Handle a request of another node."""
         if isinstance(message, StateRequest):
             return self.state_sync.handle_request(message)
+        if isinstance(message, RelayedRequest):
+            return await self.relay_server.handle(message)
+        if isinstance(message, RelayCancellation):
+            return self.relay_server.cancel(message)
         return RefusedReply(reason=f"node takes no {type(message).__name__}")
 
     def reload(self) -> None:
@@ -260,7 +280,8 @@
         caller_server = self._listeners.caller_server
         while time.monotonic() < started_at + DRAINING_GRACE_FRACTION * grace_s:
             caller_server.close_idle_connections()
-            if self.gateway.in_flight == 0 and not caller_server.connections:
+            in_flight = self.gateway.in_flight + self.relay_server.in_flight
+            if in_flight == 0 and not caller_server.connections:
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         self.logger.info(
@@ -293,6 +314,8 @@
             "servers_age_s": round(self.registry.get_list_age_s(), 3),
             "in_flight": self.gateway.in_flight,
             "request_shares": self.gateway.dispatchers.get_request_shares(),
+            "relayed": dict(self.relay_client.outcome_counts),
+            "relaying": self.relay_server.in_flight,
             "lost_paths": self.path_checker.list_lost_services(),
             "quarantined": self.gateway.attempts.quarantine.count_quarantined(),
             "task_restarts": dict(self.task_restarts),
@@ -317,6 +340,11 @@
             "probes": {"sent": self.prober.sent_count, "failed": self.prober.failed_count},
         }
 
+    def _list_relay_candidates(self, service: str) -> list[NodeInfo]:
+        """Return the other nodes that may reach a service."""
+        own = self.fleet.membership.own
+        return [info for info in self.fleet.membership.list_live() if info is not own]
+
     def _apply_routing_table(self, table: RoutingTable, source: str) -> bool:
         applied = self.gateway.apply_routing_table(table)
         if applied:
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -210,6 +210,17 @@
             connection.end_request()
             self._record_completion(proxied, outcome, status)
 
+    def record_relayed(
+        self, proxied: ProxiedRequest, outcome: str, status: int, relay_id: str
+    ) -> None:
+        """Log a request of another node that has ended."""
+        now = time.monotonic()
+        in_time = outcome == OUTCOME_ANSWERED and now <= proxied.target_at
+        if self._request_log.admit(in_time=in_time, now=now):
+            line = build_request_log_line(proxied, outcome, status, now)
+            line.relay = relay_id
+            self._request_log.write(line)
+
     def _record_completion(self, proxied: ProxiedRequest, outcome: str, status: int) -> None:
         now = time.monotonic()
         self.outcome_counts[outcome] += 1
--- a/src/jasmineseam/node/path_checker.py
+++ b/src/jasmineseam/node/path_checker.py
@@ -69,21 +69,21 @@
         if await self._count_accepting(dispatcher) > 0:
             path.dismiss_doubt()
             return
-        path.mark_lost()
+        dispatcher.mark_path_lost()
         lost_at = time.monotonic()
         self.lost_count += 1
         _logger.warning(
-            "No server of service {} accepts a connection of this node; checking again every "
-            "{:g} s.",
+            "No server of service {} accepts a connection of this node; "
+            "sending its requests through other nodes.",
             dispatcher.service,
-            CHECK_INTERVAL_S,
         )
         self.on_change(dispatcher)
         while not await self._is_back(dispatcher):
             await asyncio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.8, 1.2))
         path.mark_returned()
         _logger.info(
-            "Servers of service {} accept connections again after {:.2f} s.",
+            "Servers of service {} accept connections again after {:.2f} s; "
+            "sending a growing part of its requests to them.",
             dispatcher.service,
             time.monotonic() - lost_at,
         )
--- a/src/jasmineseam/node/proxied_request.py
+++ b/src/jasmineseam/node/proxied_request.py
@@ -28,6 +28,8 @@
     service time on a host of normal speed, in seconds. ``table_version`` is the version of
     the routing table, -1 if none was applied. ``crash_checks`` holds the checks of servers whose
     connection broke under the request. ``fingerprint`` is empty until it is computed.
+    ``relayed`` is set if another node has received the request from its caller. ``counted`` is set
+    when a node has counted the request for its retry budget.
     """
 
     __slots__ = (
@@ -35,6 +37,7 @@
         "attempt_count",
         "attempt_trace",
         "body",
+        "counted",
         "crash_checks",
         "deadline_at",
         "dispatcher",
@@ -45,6 +48,7 @@
         "headers",
         "method",
         "path",
+        "relayed",
         "route",
         "sent",
         "service_time_s",
@@ -63,6 +67,8 @@
         self.service_time_s = 0.0
         self.attempt_count = 0
         self.sent = False
+        self.relayed = False
+        self.counted = False
         self.body = b""
         self.crash_checks: list[asyncio.Task] = []
         self.fingerprint = b""
--- a/src/jasmineseam/operations/request_log.py
+++ b/src/jasmineseam/operations/request_log.py
@@ -40,6 +40,7 @@
         repetitions.
     :param tried: attempts in order, each as ``server:result:duration:xSLOWNESS@AGE`` with the age
         of the load report; see :func:`.explanation.parse_attempt`.
+    :param relay: id of the relay, if another node has received the request from its caller.
     :param dropped: number of lines that the rate limit dropped since the previous line.
     """
 
@@ -56,6 +57,7 @@
     tried_before_ms: int = 0
     fingerprint: str = ""
     tried: list[str] = []
+    relay: str = ""
     dropped: int = 0
 
 
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -27,6 +27,7 @@
 from ..requests.ledger import LedgerSnapshot
 from ..requests.outcome import CallerResponse
 from ..routing.quarantine import CrashReport
+from ..routing.routes import Route
 
 PROTOCOL_VERSION = 1
 
@@ -344,6 +345,63 @@
     crashes: list[CrashReport] = []
 
 
+class RelayedRequest(Message, tag="relayed-request"):
+    """Requests that the receiver runs a request on servers that the sender can't reach.
+
+    Texts that callers choose are bytes, since they need not be UTF-8.
+
+    :param relay_id: id by which the sender may cancel the request.
+    :param route: route of the request, with the number of attempts that are left.
+    :param table_version: version of the sender's routing table.
+    :param remaining_s: time until the deadline, in seconds.
+    :param target_s: time until the target, in seconds; below 0 if it has passed.
+    :param elapsed_s: time since the caller's first attempt, in seconds.
+    :param counted: whether the sender has counted the request for its retry budget.
+    :param excluded_server_ids: servers that already received an attempt of the request.
+    """
+
+    relay_id: str
+    service: str
+    route: Route
+    table_version: int
+    request_id: str
+    method: str
+    path: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    remaining_s: t.Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
+    target_s: float
+    elapsed_s: float
+    counted: bool
+    excluded_server_ids: list[str]
+
+
+class RelayedResponse(Message, tag="relayed-response"):
+    """Reply to :class:`RelayedRequest`.
+
+    :param status: status of the server's response, or of the response that the caller gets if
+        there is none.
+    :param reason: why there is no response of a server, empty if there is one.
+    :param may_have_run: whether a server may have run the request, if there is no response.
+    :param retry_after_s: delay after which a retry can succeed, in seconds.
+    :param tried: the attempts, as in the request log.
+    """
+
+    status: t.Annotated[int, msgspec.Meta(ge=100, le=999)]
+    headers: list[tuple[bytes, bytes]] = []
+    body: bytes = b""
+    reason: str = ""
+    may_have_run: bool = False
+    retry_after_s: float | None = None
+    tried: list[str] = []
+
+
+class RelayCancellation(Message, tag="relay-cancellation"):
+    """Ends a :class:`RelayedRequest` whose response is no longer needed."""
+
+    relay_id: str
+
+
 class DumpRequest(Message, tag="dump-request"):
     """Requests the state of a process."""
 
@@ -382,6 +440,9 @@
     | Update
     | StateRequest
     | StateReply
+    | RelayedRequest
+    | RelayedResponse
+    | RelayCancellation
     | DumpRequest
     | DumpReply
     | RefusedReply
--- a/src/jasmineseam/peers/rpc.py
+++ b/src/jasmineseam/peers/rpc.py
@@ -10,6 +10,7 @@
 import collections
 import contextlib
 import struct
+import time
 import typing as t
 
 import logbook
@@ -137,11 +138,14 @@
         self._receive_task = asyncio.create_task(self._receive())
         self._monitor_task = asyncio.create_task(self._fail_pending_requests_on_disconnect())
 
-    async def request(self, message: Message, timeout_s: float) -> t.Any:
+    async def request(
+        self, message: Message, timeout_s: float, *, send_timeout_s: float = SEND_TIMEOUT_S
+    ) -> t.Any:
         """Send a message and wait for its reply.
 
-        :param timeout_s: time limit in seconds, applied to sending (at most
-            :data:`SEND_TIMEOUT_S`) and then again to the reply.
+        :param timeout_s: time limit in seconds, applied to sending (at most *send_timeout_s*) and
+            then again to the reply.
+        :param send_timeout_s: time limit for sending, in seconds.
         :raises PeerUnreachableError: if nothing was delivered.
         :raises PeerReplyLostError: if the message may have been delivered, but no reply arrived.
         """
@@ -151,7 +155,7 @@
         reply = asyncio.get_running_loop().create_future()
         self._pending_replies[request_number] = reply
         try:
-            await self._send(frames, min(timeout_s, SEND_TIMEOUT_S))
+            await self._send(frames, min(timeout_s, send_timeout_s))
             async with asyncio.timeout(timeout_s):
                 return await reply
         except TimeoutError as error:
@@ -199,6 +203,10 @@
                     PeerReplyLostError(f"{self.address}: connection broke before the reply")
                 )
 
+    def has_pending_requests(self) -> bool:
+        """Return whether requests wait for their replies."""
+        return bool(self._pending_replies)
+
     def close(self) -> None:
         """Close the connection; pending requests fail."""
         self._receive_task.cancel()
@@ -223,6 +231,8 @@
     def __init__(self, *, context: zmq.asyncio.Context) -> None:
         self._context = context
         self._clients: dict[str, PeerClient] = {}
+        # monotonic time of the last call of get for each address, in seconds
+        self._used_at: dict[str, float] = {}
 
     @property
     def addresses(self) -> list[str]:
@@ -235,13 +245,26 @@
         if client is None:
             client = PeerClient(context=self._context, address=address)
             self._clients[address] = client
+        self._used_at[address] = time.monotonic()
         return client
 
+    def close_idle(self, min_idle_s: float) -> None:
+        """Close the clients that have not been used for a time and have no pending requests."""
+        now = time.monotonic()
+        self.close_except(
+            {
+                address
+                for address, client in self._clients.items()
+                if now - self._used_at[address] < min_idle_s or client.has_pending_requests()
+            }
+        )
+
     def close_except(self, addresses: set[str]) -> None:
         """Close all clients except those for the given addresses."""
         for address in list(self._clients):
             if address not in addresses:
                 self._clients.pop(address).close()
+                del self._used_at[address]
 
     def close(self) -> None:
         """Close all clients."""
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -17,6 +17,7 @@
 import typing as t
 
 from ..exceptions import NotRunError
+from ..exceptions import PathLostError
 from .load import MAX_FRESH_REPORT_AGE_S
 from .load import ServerLoad
 from .placement import ServerEstimate
@@ -40,6 +41,7 @@
 DEFAULT_SERVICE_TIME_S = 0.1
 COMPLETION_RATE_WINDOW_S = 1.0
 NO_SERVER_RETRY_AFTER_S = 0.3
+PATH_LOST_RETRY_AFTER_S = 0.5
 # minimum retry delay of a rejected infeasible request, which is late for its target, as a fraction
 # of the time until its deadline; MAX_RETRY_AFTER_S limits it
 LATE_RETRY_SHARE = 0.25
@@ -114,8 +116,11 @@
     async def place(self, request: PlacementRequest) -> ServerLoad:
         """Return the server for a request, after waiting for one if necessary.
 
+        :raises PathLostError: if this node can't reach the servers.
         :raises NotRunError: if no server is expected to meet the deadline, or the queue is full.
         """
+        if self.path.lost:
+            raise _build_path_lost_error()
         now = self._clock()
         self.last_request_at = now
         feasible = self._is_feasible(request, now)
@@ -234,6 +239,14 @@
             # task has resumed.
             asyncio.get_running_loop().call_soon(load.finish_request, load.start_request(now))
 
+    def mark_path_lost(self) -> None:
+        """Take the path to the servers as lost, and return the queued requests."""
+        self.path.mark_lost()
+        queued_requests, self._queue = self._queue, []
+        for queued in queued_requests:
+            if not queued.placement_future.done():
+                queued.placement_future.set_exception(_build_path_lost_error())
+
     def estimate_wait_s(self) -> float:
         """Return the expected time until all requests queued now are placed, in seconds."""
         now = self._clock()
@@ -415,6 +428,10 @@
             self._start_timer()
 
 
+def _build_path_lost_error() -> PathLostError:
+    return PathLostError("no-path", 503, PATH_LOST_RETRY_AFTER_S)
+
+
 def _update_service_time_s(current_s: float, sample_s: float) -> float:
     # samples are limited to 4 times the estimate, so that a single request at a stalled server
     # changes it only slightly
--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -404,7 +404,7 @@
         self._node = node
         self._address = address
 
-    async def request(self, message, timeout_s):
+    async def request(self, message, timeout_s, *, send_timeout_s=0.5):
         simulation = self._node.simulation
         peer = simulation.find_node(self._address)
         if peer is None or simulation.is_cut(self._node.name, peer.name):
@@ -423,7 +423,7 @@
     def get(self, address):
         return _PeerClient(self._node, address)
 
-    def close_except(self, addresses):
+    def close_idle(self, min_idle_s):
         pass
 
     def close(self):
