Do not take servers as failed that only this node can't reach

Failures that led to a lost path no longer count against servers. Each failed connection is followed by one to another server, unless one was opened since, so that a path over which only old connections work is found out soon. A quarantined request is refused before it is relayed.

--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -154,6 +154,7 @@
                 break
             try:
                 if not self._draw_direct(proxied):
+                    self._check_quarantine(proxied, relayed=True)
                     response = await self._relay_or_return_none(proxied)
                     if response is not None:
                         return response
@@ -226,12 +227,13 @@
             await self.refresh_loads(proxied.dispatcher, request)
         return await proxied.dispatcher.place(request)
 
-    def _check_quarantine(self, proxied: ProxiedRequest) -> Admission:
+    def _check_quarantine(self, proxied: ProxiedRequest, *, relayed: bool = False) -> Admission:
         """Return how the request may be sent.
 
+        :param relayed: whether another node will send it.
         :raises NotRunError: if the request is quarantined.
         """
-        admission = self.crash_detector.admit(proxied)
+        admission = self.crash_detector.admit(proxied, relayed=relayed)
         if admission.retry_after_s is not None:
             raise NotRunError("quarantined", 503, admission.retry_after_s)
         return admission
--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -156,11 +156,13 @@
                 await self._send_probe(dispatcher, load)
         except (AttemptError, TimeoutError) as error:
             self.failed_count += 1
-            load.unanswered_probe = True
             if isinstance(error, AttemptNotRunError):
                 path.record_connect_failure(load.server_id, started_at)
             else:
                 path.record_failure(load.server_id, started_at)
+            if path.lost:
+                return
+            load.unanswered_probe = True
             if isinstance(error, AttemptNotRunError):
                 load.eject(time.monotonic())
             _logger.debug(
--- a/src/jasmineseam/node/path_checker.py
+++ b/src/jasmineseam/node/path_checker.py
@@ -14,7 +14,7 @@
 from ..transport.connection_pool import ConnectionPool
 from .dispatchers import Dispatchers
 
-# number of servers that one check connects to
+# number of servers that one check connects to at most
 SERVERS_PER_CHECK = 3
 CONNECT_TIMEOUT_S = 0.2
 # interval between two checks of a lost path; drawn between 0.8 and 1.2 times this
@@ -66,7 +66,7 @@
     async def _verify(self, dispatcher: Dispatcher) -> None:
         """Check a path that is in doubt; if it is lost, wait until it is back."""
         path = dispatcher.path
-        if await self._count_accepting(dispatcher) > 0:
+        if await self._has_accepting_server(dispatcher):
             path.dismiss_doubt()
             return
         dispatcher.mark_path_lost()
@@ -89,16 +89,22 @@
         )
         self.on_change(dispatcher)
 
+    async def _has_accepting_server(self, dispatcher: Dispatcher) -> bool:
+        # While servers still respond, one connection mostly decides.
+        if not dispatcher.path.is_silent() and await self._count_accepting(dispatcher, 1):
+            return True
+        return await self._count_accepting(dispatcher, SERVERS_PER_CHECK) > 0
+
     async def _is_back(self, dispatcher: Dispatcher) -> bool:
         if not dispatcher.loads:
             return True
         needed = min(ACCEPTING_SERVERS_TO_RETURN, len(dispatcher.loads))
-        return await self._count_accepting(dispatcher) >= needed
+        return await self._count_accepting(dispatcher, SERVERS_PER_CHECK) >= needed
 
-    async def _count_accepting(self, dispatcher: Dispatcher) -> int:
-        """Return how many of a few servers accept a new connection."""
+    async def _count_accepting(self, dispatcher: Dispatcher, count: int) -> int:
+        """Return how many of some random servers accept a new connection."""
         loads = list(dispatcher.loads.values())
-        sample = self._rng.sample(loads, min(SERVERS_PER_CHECK, len(loads)))
+        sample = self._rng.sample(loads, min(count, len(loads)))
         results = await asyncio.gather(*(self._check(dispatcher, load) for load in sample))
         return sum(results)
 
--- a/src/jasmineseam/node/server_client.py
+++ b/src/jasmineseam/node/server_client.py
@@ -95,8 +95,9 @@
             return response
         except AttemptError as error:
             result = error.reason
-            self._record_failure(load, error)
             _record_path_failure(dispatcher.path, load, error.reason, started_at)
+            if not dispatcher.path.lost:
+                self._record_failure(load, error)
             if error.reason in BROKEN_CONNECTION_REASONS:
                 self._on_connection_broken(proxied, load)
             raise
--- a/src/jasmineseam/operations/explanation.py
+++ b/src/jasmineseam/operations/explanation.py
@@ -139,9 +139,14 @@
 
 
 def explain_request(lines: LogLines) -> list[RequestExplanation]:
-    """Return one explanation per log line of the request, ordered by the time of the line."""
+    """Return one explanation per log line of the request, ordered by the time of the line.
+
+    Lines of nodes that have relayed the request come last.
+    """
     explanations = []
-    for source, line in sorted(lines.requests, key=lambda pair: pair[1].time):
+    for source, line in sorted(
+        lines.requests, key=lambda pair: (bool(pair[1].relay), pair[1].time)
+    ):
         attempts = [parse_attempt(text) for text in line.tried]
         waited_ms = max(0, line.ms - sum(attempt.ms for attempt in attempts))
         explanations.append(
@@ -196,6 +201,8 @@
         f"  route {line.route or '-'} of table {line.table}, service {line.service or '-'}",
         f"  target {line.target_ms} ms, deadline {line.deadline_ms} ms",
     ]
+    if line.relay:
+        rows.append(f"  run for another node, relay {line.relay}")
     if line.fingerprint:
         rows.append(f"  fingerprint {line.fingerprint}")
     if line.tried_before_ms:
@@ -212,7 +219,9 @@
 
 
 def _format_attempt(attempt: AttemptRecord) -> str:
-    outcome = f"server {attempt.server_id}: {attempt.result} after {attempt.ms} ms"
+    node, _, server_id = attempt.server_id.rpartition("/")
+    name = f"server {server_id} through node {node}" if node else f"server {server_id}"
+    outcome = f"{name}: {attempt.result} after {attempt.ms} ms"
     host = f"host slowness {attempt.slowness:g}, load report {attempt.age_ms} ms old"
     return f"{outcome}, {host}"
 
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -240,8 +240,13 @@
             asyncio.get_running_loop().call_soon(load.finish_request, load.start_request(now))
 
     def mark_path_lost(self) -> None:
-        """Take the path to the servers as lost, and return the queued requests."""
+        """Take the path to the servers as lost, and return the queued requests.
+
+        The servers did not cause the failures that led to this.
+        """
         self.path.mark_lost()
+        for load in self.loads.values():
+            load.forget_failures()
         queued_requests, self._queue = self._queue, []
         for queued in queued_requests:
             if not queued.placement_future.done():
--- a/src/jasmineseam/routing/load.py
+++ b/src/jasmineseam/routing/load.py
@@ -142,6 +142,13 @@
         self._consecutive_ejections += 1
         self.ejected_until = now + ejection_s
 
+    def forget_failures(self) -> None:
+        """Undo the consequences of failures that the server did not cause."""
+        self._failure_rate = 0.0
+        self._consecutive_ejections = 0
+        self.ejected_until = 0.0
+        self.unanswered_probe = False
+
     def get_available_at(self, now: float) -> float:
         """Return the time from which the server may receive requests."""
         available_at = max(self.ejected_until, self.paused_until)
--- a/src/jasmineseam/routing/service_path.py
+++ b/src/jasmineseam/routing/service_path.py
@@ -2,8 +2,8 @@
 
 A node that is cut off from all servers sees what it would see if all of them had failed; other
 nodes may still reach them. The path is in doubt if several servers in a row fail and none of them
-shows a sign of life in between, or if connections to several servers fail and none succeeds. It is
-lost if new connections to further servers fail as well.
+shows a sign of life in between, or if no connection to a server can be opened. It is lost if new
+connections to further servers fail as well.
 """
 
 from __future__ import annotations
@@ -13,8 +13,6 @@
 
 # number of different servers that must fail in a row, unless the service has fewer
 FAILED_SERVERS_TO_DOUBT = 3
-# Failed connections count for this time, in seconds, while other connections have responses.
-CONNECT_FAILURE_LIFETIME_S = 2.0
 # A path that is back carries a growing fraction of the requests for this time, in seconds, so that
 # the servers do not get all of them, and new connections for them, at once.
 RETURN_RAMP_S = 2.0
@@ -29,7 +27,7 @@
 
     __slots__ = (
         "_clock",
-        "_connect_failures",
+        "_connected_at",
         "_failed_ids",
         "_returned_at",
         "last_response_at",
@@ -42,8 +40,7 @@
         self._clock = clock
         # servers that have failed since the last sign of life of any server
         self._failed_ids: set[str] = set()
-        # times of failures to connect since the last connection was opened, by server
-        self._connect_failures: dict[str, float] = {}
+        self._connected_at = float("-inf")
         self._returned_at = float("-inf")
         self.last_response_at = float("-inf")
         self.lost = False
@@ -60,23 +57,16 @@
     def record_connection(self) -> None:
         """Record that a connection to a server was opened."""
         self.record_response()
-        self._connect_failures.clear()
+        self._connected_at = self._clock()
 
     def record_connect_failure(self, server_id: str, started_at: float) -> None:
         """Record that no connection to a server could be opened.
 
         :param started_at: time at which the attempt to connect began.
         """
-        now = self._clock()
-        self._connect_failures = {
-            failed_id: failed_at
-            for failed_id, failed_at in self._connect_failures.items()
-            if now - failed_at < CONNECT_FAILURE_LIFETIME_S
-        }
-        self._connect_failures[server_id] = now
-        if started_at >= self.last_response_at:
-            self._failed_ids.add(server_id)
-        self._check_for_doubt()
+        self.record_failure(server_id, started_at)
+        if not self.lost and started_at >= self._connected_at:
+            self.on_doubt()
 
     def record_failure(self, server_id: str, sent_at: float) -> None:
         """Record that a server did not respond in time, or that its connection broke.
@@ -87,7 +77,12 @@
         if sent_at < self.last_response_at:
             return
         self._failed_ids.add(server_id)
-        self._check_for_doubt()
+        if not self.lost and self.is_silent():
+            self.on_doubt()
+
+    def is_silent(self) -> bool:
+        """Return whether several servers have failed, with no sign of life in between."""
+        return len(self._failed_ids) >= max(1, min(FAILED_SERVERS_TO_DOUBT, self.server_count))
 
     def mark_lost(self) -> None:
         """Take the path as lost until :meth:`mark_returned` is called."""
@@ -102,7 +97,6 @@
     def dismiss_doubt(self) -> None:
         """Forget the failures, which were not caused by the path."""
         self._failed_ids.clear()
-        self._connect_failures.clear()
 
     def draw_direct(self, rng: random.Random) -> bool:
         """Return whether a request should use this path; random while the path is returning."""
@@ -110,9 +104,3 @@
             return False
         fraction = (self._clock() - self._returned_at) / RETURN_RAMP_S
         return fraction >= 1.0 or rng.random() < max(MIN_RETURN_FRACTION, fraction)
-
-    def _check_for_doubt(self) -> None:
-        needed = max(1, min(FAILED_SERVERS_TO_DOUBT, self.server_count))
-        if self.lost or max(len(self._failed_ids), len(self._connect_failures)) < needed:
-            return
-        self.on_doubt()
