Name only nodes that reach servers to callers

Callers went on to be sent to nodes that were cut off from all servers. A node whose paths to all services are lost, while others have reached one of them for it, says so in its state; locators leave it out, unless no node is left. If no other node reaches the service either, the servers may have failed, and all nodes stay. When one path is lost, the others are checked at once. Nodes that have lost the path to a service are not asked to relay requests for it.

--- a/src/jasmineseam/membership/nodes.py
+++ b/src/jasmineseam/membership/nodes.py
@@ -37,6 +37,7 @@
     :param ready: whether callers may send requests to the node.
     :param leaving: whether the node is shutting down.
     :param reads_store: whether the node has no failing access to the metadata store.
+    :param lost_services: services whose servers other nodes reach, but this node does not.
     """
 
     vm_id: str
@@ -48,6 +49,7 @@
     ready: bool = False
     leaving: bool = False
     reads_store: bool = True
+    lost_services: list[str] = []
 
 
 class NodeStatus(enum.Enum):
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -128,6 +128,10 @@
             list_candidates=self._list_relay_candidates,
         )
         self.gateway.attempts.relay = self.relay_client.run
+        self.relay_client.on_result = self.path_checker.record_relay_result
+        self.path_checker.on_change = lambda: self.fleet.update_own(
+            lost_services=self.path_checker.list_own_losses()
+        )
         self.relay_server = RelayServer(
             run=self.gateway.attempts.run,
             is_leaving=lambda: self._leaving,
@@ -343,7 +347,21 @@
     def _list_relay_candidates(self, service: str) -> list[NodeInfo]:
         """Return the other nodes that may reach a service."""
         own = self.fleet.membership.own
-        return [info for info in self.fleet.membership.list_live() if info is not own]
+        return [
+            info
+            for info in self.fleet.membership.list_live()
+            if info is not own and service not in info.lost_services
+        ]
+
+    def list_entry_nodes(self) -> list[NodeInfo]:
+        """Return the nodes that are named to callers.
+
+        Nodes that reach no service are left out, unless that concerns all nodes.
+        """
+        live = self.fleet.membership.list_live()
+        services = self.gateway.list_services()
+        reaching = [info for info in live if not services.issubset(info.lost_services)]
+        return reaching or live
 
     def _apply_routing_table(self, table: RoutingTable, source: str) -> bool:
         applied = self.gateway.apply_routing_table(table)
@@ -426,7 +444,7 @@
         endpoints = NodeEndpoints(
             config=self._endpoint_config,
             is_ready=lambda: self.ready,
-            list_live_nodes=self.fleet.membership.list_live,
+            list_entry_nodes=self.list_entry_nodes,
             get_entries_ttl_s=self._get_entries_ttl_s,
         )
         port = self.options.metrics_port
--- a/src/jasmineseam/node/endpoints.py
+++ b/src/jasmineseam/node/endpoints.py
@@ -35,7 +35,7 @@
 
     :param config: paths and formats of the readiness and locator endpoints.
     :param is_ready: returns whether this node accepts requests of callers.
-    :param list_live_nodes: returns the nodes that accept requests of callers.
+    :param list_entry_nodes: returns the nodes whose addresses callers get.
     :param get_entries_ttl_s: returns how long a caller may cache the entry addresses, in seconds.
     """
 
@@ -44,12 +44,12 @@
         *,
         config: EndpointConfig,
         is_ready: t.Callable[[], bool],
-        list_live_nodes: t.Callable[[], list[NodeInfo]],
+        list_entry_nodes: t.Callable[[], list[NodeInfo]],
         get_entries_ttl_s: t.Callable[[], float],
     ) -> None:
         self._config = config
         self._is_ready = is_ready
-        self._list_live_nodes = list_live_nodes
+        self._list_entry_nodes = list_entry_nodes
         self._get_entries_ttl_s = get_entries_ttl_s
         self._rng = random.Random()
 
@@ -64,8 +64,8 @@
     async def handle_locator(self, request: web.BaseRequest) -> web.Response:
         """Return entry addresses in random order.
 
-        If the caller's failure domain has live entries, only those are returned, otherwise the
-        entries of all failure domains.
+        If the caller's failure domain has entries, only those are returned, otherwise the entries
+        of all failure domains.
         """
         if request.path != self._config.locator_path:
             return web.Response(status=404, text="not found\n")
@@ -77,9 +77,9 @@
         return web.Response(body=body, content_type="application/json")
 
     def _list_entry_addresses(self, failure_domain: str) -> list[str]:
-        live_nodes = self._list_live_nodes()
-        same_domain = [node for node in live_nodes if node.failure_domain == failure_domain]
-        addresses = [node.entry_address for node in same_domain or live_nodes]
+        nodes = self._list_entry_nodes()
+        same_domain = [node for node in nodes if node.failure_domain == failure_domain]
+        addresses = [node.entry_address for node in same_domain or nodes]
         self._rng.shuffle(addresses)
         return addresses
 
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -161,6 +161,12 @@
         self.refresh_servers()
         return True
 
+    def list_services(self) -> set[str]:
+        """Return the services that have servers in use."""
+        return {
+            dispatcher.service for dispatcher in self.dispatchers.list_all() if dispatcher.loads
+        }
+
     def refresh_servers(self) -> None:
         """Update all dispatchers from the server registry."""
         if self._route_index is not None:
--- a/src/jasmineseam/node/path_checker.py
+++ b/src/jasmineseam/node/path_checker.py
@@ -38,9 +38,12 @@
         self._get_connections = get_connections
         self._rng = random.Random()
         self._tasks: dict[str, asyncio.Task] = {}
+        # services with lost paths that other nodes have reached
+        self._reached_by_others: set[str] = set()
         self.lost_count = 0
-        # Called with a dispatcher whose path was lost or is back.
-        self.on_change: t.Callable[[Dispatcher], None] = lambda dispatcher: None
+        # Called when a path was lost or is back, and when other nodes begin or cease to reach a
+        # service whose path is lost.
+        self.on_change: t.Callable[[], None] = lambda: None
         dispatchers.on_path_doubt = self._handle_doubt
 
     def list_lost_services(self) -> list[str]:
@@ -51,6 +54,23 @@
             if dispatcher.path.lost
         )
 
+    def list_own_losses(self) -> list[str]:
+        """Return the services that this node does not reach, while others reach any of them.
+
+        If no other node does, the servers may have failed, and the result is empty.
+        """
+        return self.list_lost_services() if self._reached_by_others else []
+
+    def record_relay_result(self, service: str, reached: bool) -> None:
+        """Record whether another node has reached a service."""
+        if (service in self._reached_by_others) == reached:
+            return
+        if not reached:
+            self._reached_by_others.discard(service)
+        elif self._dispatchers.get(service).path.lost:
+            self._reached_by_others.add(service)
+        self.on_change()
+
     def close(self) -> None:
         """Stop all checks."""
         for task in self._tasks.values():
@@ -77,17 +97,22 @@
             "sending its requests through other nodes.",
             dispatcher.service,
         )
-        self.on_change(dispatcher)
+        self.on_change()
+        # A cut mostly concerns the servers of all services.
+        for other in self._dispatchers.list_all():
+            if not other.path.lost and other.loads:
+                self._handle_doubt(other)
         while not await self._is_back(dispatcher):
             await asyncio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.8, 1.2))
         path.mark_returned()
+        self._reached_by_others.discard(dispatcher.service)
         _logger.info(
             "Servers of service {} accept connections again after {:.2f} s; "
             "sending a growing part of its requests to them.",
             dispatcher.service,
             time.monotonic() - lost_at,
         )
-        self.on_change(dispatcher)
+        self.on_change()
 
     async def _has_accepting_server(self, dispatcher: Dispatcher) -> bool:
         # While servers still respond, one connection mostly decides.
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -8,6 +8,7 @@
 from tests.node_simulation import SERVICE
 from tests.node_simulation import run_simulation
 from tests.path_cuts import CUT_MODES
+from tests.path_cuts import STABILITY_S
 from tests.path_cuts import assert_run_once
 from tests.path_cuts import assert_served_as_others
 from tests.path_cuts import choose_all_but_one
@@ -154,3 +155,59 @@
         assert_run_once(simulation)
 
     run_simulation(scenario, node_count=6, server_count=12)
+
+
+def list_named(simulation, asked):
+    """Return the names of the nodes that some nodes name to callers."""
+    return {
+        name: {info.vm_id for info in simulation.nodes[name].node.list_entry_nodes()}
+        for name in asked
+    }
+
+
+@pytest.mark.parametrize(
+    ("size", "choose_names"),
+    [(SMALL, choose_half), (SMALL, choose_all_but_one), (MEDIUM, choose_domain)],
+)
+def test_callers_are_sent_to_nodes_that_reach_servers(size, choose_names):
+    node_count, server_count, requests_per_s = size
+
+    async def scenario(simulation):
+        names = choose_names(simulation)
+        load = simulation.spawn(send_load(simulation, requests_per_s, 14.0))
+        await asyncio.sleep(2.0)
+        cut = simulation.cut_paths(names, **HANG)
+        await asyncio.sleep(STABILITY_S)
+        reaching = set(simulation.nodes) - names
+        assert set(map(frozenset, list_named(simulation, simulation.nodes).values())) == {
+            frozenset(reaching)
+        }
+        cut.ended.set()
+        await asyncio.sleep(2.0)
+        named = list_named(simulation, simulation.nodes)
+        assert all(found == set(simulation.nodes) for found in named.values())
+        await load
+
+    run_simulation(
+        scenario, node_count=node_count, server_count=server_count, other_server_count=4
+    )
+
+
+def test_all_nodes_are_named_to_callers_while_none_reaches_a_server():
+    async def scenario(simulation):
+        names = list(simulation.nodes)
+        load = simulation.spawn(send_load(simulation, 60.0, 16.0))
+        await asyncio.sleep(2.0)
+        # The last nodes to be cut off were relaying the requests of the others.
+        cuts = []
+        for name in names:
+            cuts.append(simulation.cut_paths({name}, **HANG))
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(STABILITY_S)
+        named = list_named(simulation, names)
+        assert all(found == set(names) for found in named.values())
+        for cut in cuts:
+            cut.ended.set()
+        await load
+
+    run_simulation(scenario, node_count=6, server_count=12)
