Do not send requests that must not be repeated into silence

The first such request after the start of a silent cut was sent on an open connection and lost: its outcome was unknown at the deadline. It now waits while probes are unanswered and no server shows a sign of life, until the path is known to work or to be lost, 0.4 s at most. The test failed before (no response of three nodes).

--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -271,6 +271,7 @@
             target_at=max(proxied.target_at, proxied.arrived_at + min_target_s),
             deadline_at=proxied.deadline_at,
             excluded_server_ids=proxied.excluded_server_ids,
+            idempotent=proxied.route.idempotent,
         )
 
     async def _send_hedged_attempt(
--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -39,6 +39,9 @@
 USABLE_LIMIT_FRACTION = 0.8
 # A probe without a response after this time puts the path to the service in doubt, in seconds.
 SILENCE_S = 0.1
+# longest time that a request waits for a sign of life, in which the path is checked
+MAX_SILENCE_WAIT_S = 0.4
+SILENCE_POLL_INTERVAL_S = 0.005
 # If the timer for this fires later than this, the node itself was delayed, in seconds.
 MAX_TIMER_DELAY_S = 0.05
 _logger = logbook.Logger("probes")
@@ -78,9 +81,13 @@
         """Obtain reports of a few servers for the placement of a request.
 
         If none of this node's servers suits the request, servers outside of its subset are used
-        as well.
+        as well. A request that must not be repeated waits while no server shows a sign of life,
+        since it would be lost if this node's path to the servers is.
         """
+        started_at = time.monotonic()
         await self._probe_sample(dispatcher, request.excluded_server_ids)
+        if not request.idempotent:
+            await self._wait_for_sign_of_life(dispatcher, started_at)
         if dispatcher.has_suitable_server(request):
             return
         borrowed = self._gateway.dispatchers.borrow_servers(
@@ -88,6 +95,16 @@
         )
         await self._probe_all(dispatcher, borrowed)
 
+    async def _wait_for_sign_of_life(self, dispatcher: Dispatcher, since: float) -> None:
+        path = dispatcher.path
+        while (
+            path.last_response_at < since
+            and not path.lost
+            and time.monotonic() - since < MAX_SILENCE_WAIT_S
+            and not self._probe_tasks.keys().isdisjoint(dispatcher.loads)
+        ):
+            await asyncio.sleep(SILENCE_POLL_INTERVAL_S)
+
     def _handle_queued_request(self, dispatcher: Dispatcher) -> None:
         if dispatcher.service in self._queue_tasks:
             return
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -55,6 +55,7 @@
     :param target_at: time at which the response should be complete, on the dispatcher's clock.
     :param deadline_at: time after which a response is useless, on the dispatcher's clock.
     :param excluded_server_ids: servers that already received an attempt of the request.
+    :param idempotent: whether the request may be run more than once.
     """
 
     priority: int
@@ -62,6 +63,7 @@
     target_at: float
     deadline_at: float
     excluded_server_ids: set[str]
+    idempotent: bool = True
 
 
 class _QueuedRequest:
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -211,3 +211,20 @@
         await load
 
     run_simulation(scenario, node_count=6, server_count=12)
+
+
+@pytest.mark.parametrize("established", ["hang", "break"])
+def test_first_order_after_a_quiet_time_is_not_sent_into_a_cut(established):
+    async def scenario(simulation):
+        await send_load(simulation, 60.0, 2.0)
+        await asyncio.sleep(1.0)
+        names = choose_half(simulation)
+        simulation.cut_paths(names, connecting="hang", established=established)
+        statuses = [
+            (await simulation.send_request(kind="order", node=simulation.nodes[name]))[0]
+            for name in names
+        ]
+        assert statuses == [200] * len(names)
+        assert_run_once(simulation)
+
+    run_simulation(scenario, node_count=6, server_count=12)
