Use open connections while no node can open new ones

With all nodes cut off from new connections only, requests were refused although servers answered on open ones. If no node can relay a request, it is now sent over an open connection, as long as servers respond on these; one of them is probed with each check of the lost path.

--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -143,6 +143,7 @@
         connect_failures = 0
         max_attempts = route.max_attempts
         is_trial = False
+        may_relay = not proxied.relayed
         last_result: ServerResponse | AttemptError | None = None
         while (
             proxied.attempt_count < max_attempts
@@ -153,11 +154,12 @@
             ):
                 break
             try:
-                if not self._draw_direct(proxied):
+                if may_relay and not proxied.dispatcher.path.draw_direct(self._rng):
                     self._check_quarantine(proxied, relayed=True)
-                    response = await self._relay_or_return_none(proxied)
-                    if response is not None:
-                        return response
+                    try:
+                        return await self.relay(proxied)
+                    except NoRelayError:
+                        may_relay = False
                 if not proxied.counted:
                     proxied.counted = True
                     budget.record_request()
@@ -169,7 +171,7 @@
                     # The request may have been quarantined while it waited for a server.
                     self._check_quarantine(proxied)
             except NotRunError as error:
-                if isinstance(error, PathLostError) and not proxied.relayed:
+                if isinstance(error, PathLostError) and may_relay:
                     continue
                 if last_result is None:
                     raise
@@ -198,34 +200,19 @@
             last_result = response
         return self._return_or_raise_last_result(proxied, last_result)
 
-    def _draw_direct(self, proxied: ProxiedRequest) -> bool:
-        """Return whether this node sends the request to a server itself."""
-        return proxied.relayed or proxied.dispatcher.path.draw_direct(self._rng)
-
-    async def _relay_or_return_none(self, proxied: ProxiedRequest) -> ServerResponse | None:
-        """Return the response to a request that is sent through another node.
-
-        The result is ``None`` if no other node reaches the service, but this node does by now.
-
-        :raises NotRunError: if it was not run.
-        :raises UnknownOutcomeError: if its outcome is unknown.
-        """
-        try:
-            return await self.relay(proxied)
-        except NoRelayError:
-            if proxied.dispatcher.path.lost:
-                raise
-            return None
-
     async def _place_attempt(self, proxied: ProxiedRequest) -> ServerLoad:
         """Return the server of the next attempt, after waiting for one if necessary.
 
         :raises NotRunError: if there is none.
         """
+        dispatcher = proxied.dispatcher
         request = self._build_placement_request(proxied)
-        if not proxied.dispatcher.path.lost:
-            await self.refresh_loads(proxied.dispatcher, request)
-        return await proxied.dispatcher.place(request)
+        if dispatcher.path.lost:
+            return dispatcher.place_on_open_connection(
+                request, lambda load: self.connections.has_idle(load.address)
+            )
+        await self.refresh_loads(dispatcher, request)
+        return await dispatcher.place(request)
 
     def _check_quarantine(self, proxied: ProxiedRequest, *, relayed: bool = False) -> Admission:
         """Return how the request may be sent.
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -212,6 +212,7 @@
             max_probes_per_s=self.settings.probes_per_s,
         )
         self.gateway.attempts.refresh_loads = self.prober.refresh_loads
+        self.path_checker.probe = self.prober.send_probe
         self._apply_node_count()
         for run_forever in (
             self.store_watcher.watch_routing_table,
--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -170,7 +170,7 @@
         silence_timer = asyncio.get_running_loop().call_later(SILENCE_S, record_silence)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                await self._send_probe(dispatcher, load)
+                await self.send_probe(dispatcher, load)
         except (AttemptError, TimeoutError) as error:
             self.failed_count += 1
             if isinstance(error, AttemptNotRunError):
@@ -190,7 +190,11 @@
         finally:
             silence_timer.cancel()
 
-    async def _send_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> None:
+    async def send_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> None:
+        """Probe a server and record its report.
+
+        :raises AttemptError: if there is no response.
+        """
         table = self._gateway.routing_table
         services = {service.name: service for service in table.services} if table else {}
         service = services.get(dispatcher.service)
--- a/src/jasmineseam/node/path_checker.py
+++ b/src/jasmineseam/node/path_checker.py
@@ -9,6 +9,7 @@
 
 import logbook
 
+from ..exceptions import AttemptError
 from ..routing.dispatch import Dispatcher
 from ..routing.load import ServerLoad
 from ..transport.connection_pool import ConnectionPool
@@ -17,6 +18,7 @@
 # number of servers that one check connects to at most
 SERVERS_PER_CHECK = 3
 CONNECT_TIMEOUT_S = 0.2
+PROBE_TIMEOUT_S = 0.2
 # interval between two checks of a lost path; drawn between 0.8 and 1.2 times this
 CHECK_INTERVAL_S = 0.25
 # servers that must accept a connection before a lost path is used again, unless there are fewer
@@ -41,6 +43,8 @@
         # services with lost paths that other nodes have reached
         self._reached_by_others: set[str] = set()
         self.lost_count = 0
+        # Probes a server on an open connection.
+        self.probe: t.Callable[[Dispatcher, ServerLoad], t.Awaitable[None]] = _skip_probe
         # Called when a path was lost or is back, and when other nodes begin or cease to reach a
         # service whose path is lost.
         self.on_change: t.Callable[[], None] = lambda: None
@@ -103,6 +107,7 @@
             if not other.path.lost and other.loads:
                 self._handle_doubt(other)
         while not await self._is_back(dispatcher):
+            await self._check_open_connection(dispatcher)
             await asyncio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.8, 1.2))
         path.mark_returned()
         self._reached_by_others.discard(dispatcher.service)
@@ -126,6 +131,20 @@
         needed = min(ACCEPTING_SERVERS_TO_RETURN, len(dispatcher.loads))
         return await self._count_accepting(dispatcher, SERVERS_PER_CHECK) >= needed
 
+    async def _check_open_connection(self, dispatcher: Dispatcher) -> None:
+        """Find out whether servers respond on connections that are still open."""
+        connections = self._get_connections()
+        loads = [load for load in dispatcher.loads.values() if connections.has_idle(load.address)]
+        path = dispatcher.path
+        if not loads:
+            path.open_connections_respond = False
+            return
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                await self.probe(dispatcher, self._rng.choice(loads))
+        except (AttemptError, TimeoutError):
+            path.open_connections_respond = False
+
     async def _count_accepting(self, dispatcher: Dispatcher, count: int) -> int:
         """Return how many of some random servers accept a new connection."""
         loads = list(dispatcher.loads.values())
@@ -138,3 +157,7 @@
         if accepts:
             dispatcher.path.record_connection()
         return accepts
+
+
+async def _skip_probe(dispatcher: Dispatcher, load: ServerLoad) -> None:
+    """Send no probe."""
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -146,6 +146,22 @@
             if queued in self._queue:
                 self._queue.remove(queued)
 
+    def place_on_open_connection(
+        self, request: PlacementRequest, is_connected: t.Callable[[ServerLoad], bool]
+    ) -> ServerLoad:
+        """Return a server with an open connection for a request, while the path is lost.
+
+        :param is_connected: returns whether an open connection to a server is idle.
+        :raises PathLostError: if there is none.
+        """
+        now = self._clock()
+        unsuitable = {load.server_id for load in self.loads.values() if not is_connected(load)}
+        best_free, _ = self._estimate_best_servers(request.excluded_server_ids | unsuitable, now)
+        if best_free is None or not self.path.open_connections_respond:
+            raise _build_path_lost_error()
+        best_free.load.take_token(now)
+        return best_free.load
+
     def has_suitable_server(self, request: PlacementRequest) -> bool:
         """Return whether a server with a free slot and a fresh report can meet the target.
 
--- a/src/jasmineseam/routing/service_path.py
+++ b/src/jasmineseam/routing/service_path.py
@@ -33,6 +33,7 @@
         "last_response_at",
         "lost",
         "on_doubt",
+        "open_connections_respond",
         "server_count",
     )
 
@@ -44,6 +45,8 @@
         self._returned_at = float("-inf")
         self.last_response_at = float("-inf")
         self.lost = False
+        # whether servers respond on connections that were opened before the path was lost
+        self.open_connections_respond = True
         # number of servers that this node uses
         self.server_count = 0
         # Called when the path is in doubt.
@@ -52,6 +55,7 @@
     def record_response(self) -> None:
         """Record a sign of life of a server."""
         self.last_response_at = self._clock()
+        self.open_connections_respond = True
         self._failed_ids.clear()
 
     def record_connection(self) -> None:
@@ -87,6 +91,7 @@
     def mark_lost(self) -> None:
         """Take the path as lost until :meth:`mark_returned` is called."""
         self.lost = True
+        self.open_connections_respond = not self.is_silent()
 
     def mark_returned(self) -> None:
         """Use the path again, for a growing fraction of the requests."""
--- a/src/jasmineseam/transport/connection_pool.py
+++ b/src/jasmineseam/transport/connection_pool.py
@@ -71,7 +71,7 @@
 
         No connection is opened if an idle one to the server is still open.
         """
-        if any(connection.is_reusable for connection in self._idle.get(address, ())):
+        if self.has_idle(address):
             return False
         try:
             connection = await open_connection(address, self._connect_timeout_s)
@@ -80,6 +80,10 @@
         connection.close()
         return False
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether an idle connection to a server is open."""
+        return any(connection.is_reusable for connection in self._idle.get(address, ()))
+
     def release(self, address: str, connection: ServerConnection) -> None:
         """Return a connection to the pool.
 
--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -511,6 +511,7 @@
             max_probes_per_s=settings.probes_per_s,
         )
         node.gateway.attempts.refresh_loads = node.prober.refresh_loads
+        node.path_checker.probe = node.prober.send_probe
         self._tasks = [
             asyncio.create_task(node.fleet.run_forever()),
             asyncio.create_task(node._run_maintenance_forever()),
