Let a connection to a server survive one lost keepalive probe

TCP_USER_TIMEOUT decides when the kernel gives up unanswered probes, whatever their count: with 2 s it was after one probe, at 3 s, although two were configured, so a single lost packet could end a connection on which a long request ran. Connections to servers now use the options of those to the store: probes after 1 and 2 s, given up at 3 s. No other socket of a running node sets the option (read back from all of a process's sockets; ZeroMQ, aiohttp and asyncio leave it unset). The test failed before for servers and held for the store.

--- a/src/jasmineseam/platform/store_client.py
+++ b/src/jasmineseam/platform/store_client.py
@@ -20,6 +20,7 @@
 from ..exceptions import StoreRestoredError
 from ..exceptions import StoreUnavailableError
 from ..membership.store_position import StorePosition
+from ..transport.keepalive import enable_keepalive
 
 CALL_TIMEOUT_S = 0.7
 # timeout after a call that has timed out, since the store may only be slow
@@ -27,10 +28,6 @@
 # The short timeout applies again after a call that took no longer than this.
 FAST_CALL_S = 0.35
 MAX_KB_PER_READ = 4096
-TCP_KEEPALIVE_IDLE_S = 1
-TCP_KEEPALIVE_INTERVAL_S = 1
-TCP_KEEPALIVE_PROBES = 2
-TCP_USER_TIMEOUT_MS = 2500
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # number of the store's timeline, in every response; each restore from a backup increments it
 TIMELINE_HEADER = "Store-Era"
@@ -223,11 +220,7 @@
     family, kind, protocol, _, _ = address_info
     tcp_socket = socket.socket(family=family, type=kind, proto=protocol)
     tcp_socket.setblocking(False)
-    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S)
-    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S)
-    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
-    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    enable_keepalive(tcp_socket)
     return tcp_socket
 
 
--- a/src/jasmineseam/transport/server_connection.py
+++ b/src/jasmineseam/transport/server_connection.py
@@ -22,6 +22,7 @@
 
 from ..exceptions import AttemptNotRunError
 from ..exceptions import AttemptOutcomeUnknownError
+from .keepalive import enable_keepalive
 from .response_memory import ResponseMemory
 
 # size of the largest response head expected from servers; aiohttp's parser limits each line and
@@ -33,11 +34,6 @@
 MAX_FRAMING_BYTES = 262_144
 # maximum size of a response to an earlier request, which is skipped
 MAX_SKIPPED_BODY_BYTES = 32 * 1024 * 1024
-# the kernel closes a connection whose sent data stays unacknowledged for this time
-TCP_USER_TIMEOUT_MS = 2000
-TCP_KEEPALIVE_IDLE_S = 2
-TCP_KEEPALIVE_INTERVAL_S = 1
-TCP_KEEPALIVE_PROBES = 2
 # idle limit of a connection whose server has sent no timeout in a Keep-Alive header
 DEFAULT_IDLE_LIMIT_S = 8.0
 # idle connections are reused only for this fraction of the timeout in the Keep-Alive header, so
@@ -275,10 +271,4 @@
 def _set_socket_options(protocol: _ConnectionProtocol) -> None:
     connection_socket = protocol.transport.get_extra_info("socket")
     connection_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    connection_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    connection_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S)
-    connection_socket.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S
-    )
-    connection_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
-    connection_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    enable_keepalive(connection_socket)
