--- a/tests/fleet_troubles.py
+++ b/tests/fleet_troubles.py
@@ -76,7 +76,37 @@
     )
 
 
-TROUBLES = [lose_datagrams, delay_news, cut_off_nodes, cut_off_one_way, restart_nodes]
+async def lose_paths(simulation, **modes):
+    """Cut half of the nodes off from all servers for some seconds; nothing is excused by it."""
+    cut = simulation.cut_paths(choose_names(simulation, 0.5), **modes)
+
+    async def end_cut():
+        await asyncio.sleep(6.0)
+        cut.ended.set()
+
+    simulation.spawn(end_cut())
+    return lambda arrival: False
+
+
+async def lose_paths_silently(simulation):
+    """Cut half of the nodes off from all servers; connections to them hang."""
+    return await lose_paths(simulation, connecting="hang", established="hang")
+
+
+async def lose_paths_with_resets(simulation):
+    """Cut half of the nodes off from all servers; connections to them are reset."""
+    return await lose_paths(simulation, connecting="reset", established="break")
+
+
+TROUBLES = [
+    lose_datagrams,
+    delay_news,
+    cut_off_nodes,
+    cut_off_one_way,
+    restart_nodes,
+    lose_paths_silently,
+    lose_paths_with_resets,
+]
 
 
 def build_cases(sizes, *, large_seed):
--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -52,6 +52,7 @@
 DOMAINS = ("d1", "d2", "d3")
 CONTACT_COUNT = 3
 MAINTENANCE_INTERVAL_S = 0.5
+RETRY_SHARE = 0.2
 # time from a crash of a server to its next start, and to the removal of its old listing
 RESTART_S = 2.0
 LISTING_LAPSE_S = 3.0
@@ -486,7 +487,9 @@
             ),
             store_address="",
             seed_peers=[f"10.0.0.{contact + 1}:5" for contact in range(CONTACT_COUNT)],
-            retries=RetryBudgetSettings(share=0.2, allowance=200.0, window_s=10.0),
+            retries=RetryBudgetSettings(
+                share=RETRY_SHARE, allowance=simulation.retry_allowance, window_s=10.0
+            ),
             probes_per_s=60.0,
             grace_s=6.0,
             longest_lifetime_s=5.0,
@@ -556,11 +559,20 @@
     """
 
     def __init__(
-        self, *, node_count, server_count, other_server_count=0, seed=1, loss=0.0, work_s=0.08
+        self,
+        *,
+        node_count,
+        server_count,
+        other_server_count=0,
+        seed=1,
+        loss=0.0,
+        work_s=0.08,
+        retry_allowance=200.0,
     ):
         self.rng = random.Random(seed)
         self.delay_s = 0.001
         self.loss = loss
+        self.retry_allowance = retry_allowance
         self.is_cut = lambda sender, receiver: False
         self._path_cuts = []
         # additional delay of datagrams by sender
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -1,10 +1,13 @@
 """Nodes that are cut off from servers which other nodes reach."""
 
 import asyncio
+import collections
 
 import pytest
 
+from jasmineseam.routing.service_path import RETURN_RAMP_S
 from tests.node_simulation import OTHER_SERVICE
+from tests.node_simulation import RETRY_SHARE
 from tests.node_simulation import SERVICE
 from tests.node_simulation import run_simulation
 from tests.path_cuts import CUT_MODES
@@ -228,3 +231,76 @@
         assert_run_once(simulation)
 
     run_simulation(scenario, node_count=6, server_count=12)
+
+
+@pytest.mark.parametrize("modes", [CUT_MODES[0], HANG, RESET])
+@pytest.mark.parametrize("size", [SMALL, MEDIUM])
+def test_relayed_requests_count_for_the_retry_budget_as_direct_ones_do(size, modes):
+    node_count, server_count, requests_per_s = size
+    allowance = 10.0
+
+    async def scenario(simulation):
+        load = simulation.spawn(send_load(simulation, requests_per_s, 12.0))
+        for _ in range(3):
+            await asyncio.sleep(1.5)
+            await cut_for(simulation, choose_half(simulation), 2.0, **modes)
+        await load
+        arrivals = collections.Counter(
+            arrival.path for server in simulation.servers for arrival in server.arrivals
+        )
+        extra = sum(arrivals.values()) - len(arrivals)
+        assert extra <= RETRY_SHARE * len(simulation.responses) + allowance
+        assert_run_once(simulation)
+
+    run_simulation(
+        scenario,
+        node_count=node_count,
+        server_count=server_count,
+        retry_allowance=allowance,
+    )
+
+
+def test_servers_get_no_rush_of_connections_when_a_cut_of_all_nodes_ends():
+    async def scenario(simulation):
+        names = set(simulation.nodes)
+        load = simulation.spawn(send_load(simulation, 120.0, 14.0))
+        await asyncio.sleep(2.0)
+        _, until = await cut_for(simulation, names, 6.0, **RESET)
+        await load
+        opened_at = [
+            at
+            for simulated in simulation.nodes.values()
+            for at in simulated.node.gateway.connections.opened_at
+            if at >= until
+        ]
+        most_in_half_a_second = max(
+            sum(since <= at < since + 0.5 for at in opened_at) for since in opened_at
+        )
+        # one for each node and server
+        assert most_in_half_a_second <= len(simulation.nodes) * len(simulation.servers)
+        served, sent = count_first_attempts(simulation, names, until + 1.0, until + 4.0)
+        assert served / sent > 0.98
+
+    run_simulation(scenario, node_count=6, server_count=12)
+
+
+def test_nodes_send_a_growing_share_of_requests_themselves_when_a_cut_ends():
+    async def scenario(simulation):
+        names = choose_half(simulation)
+        load = simulation.spawn(simulation.send_load(300.0, 12.0))
+        await asyncio.sleep(2.0)
+        _, until = await cut_for(simulation, names, 4.0, **RESET)
+        await load
+
+        def compute_direct_share(since, end):
+            direct = sum(
+                since <= arrival.at < end and arrival.node.name in names
+                for server in simulation.servers
+                for arrival in server.arrivals
+            )
+            return direct / count_first_attempts(simulation, names, since, end)[1]
+
+        assert compute_direct_share(until, until + 0.25 * RETURN_RAMP_S) < 0.5
+        assert compute_direct_share(until + 2 * RETURN_RAMP_S, until + 3 * RETURN_RAMP_S) > 0.95
+
+    run_simulation(scenario, node_count=6, server_count=24)
