Relay a request when all servers of a lost path are ejected, and to servers that it has not reached

With real nodes, the first requests after the start of a cut were refused: probes ejected all servers just before the path was known to be lost. A request that finds no server now waits for the verdict on a path in doubt. And a relaying node excluded the servers that the sender had failed to connect to; it now excludes those only that may have received the request.

--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -19,6 +19,7 @@
 from ..requests.protocol import ResponseHead
 from ..requests.protocol import ServerResponse
 from ..routing.attempt_race import race_attempts
+from ..routing.dispatch import REASON_NO_SERVER
 from ..routing.dispatch import Dispatcher
 from ..routing.dispatch import PlacementRequest
 from ..routing.load import ServerLoad
@@ -95,6 +96,9 @@
         )
         # Runs a request through another node.
         self.relay: t.Callable[[ProxiedRequest], t.Awaitable[ServerResponse]] = _find_no_relay
+        # If it is in doubt whether this node reaches a service, waits until that is known, and
+        # returns whether it was in doubt.
+        self.wait_for_verdict: t.Callable[[Dispatcher], t.Awaitable[bool]] = _have_no_doubt
         self._rng = random.Random()
 
     @property
@@ -173,6 +177,10 @@
             except NotRunError as error:
                 if isinstance(error, PathLostError) and may_relay:
                     continue
+                if error.reason == REASON_NO_SERVER and await self.wait_for_verdict(
+                    proxied.dispatcher
+                ):
+                    continue
                 if last_result is None:
                     raise
                 proxied.attempt_trace.append(error.reason)
@@ -239,7 +247,7 @@
             return last_result
         if isinstance(last_result, AttemptOutcomeUnknownError):
             raise UnknownOutcomeError(last_result.reason, 502)
-        reason = "no-server" if last_result is None else last_result.reason
+        reason = REASON_NO_SERVER if last_result is None else last_result.reason
         raise NotRunError(reason, 503, proxied.dispatcher.estimate_retry_after_s())
 
     def _build_placement_request(self, proxied: ProxiedRequest) -> PlacementRequest:
@@ -329,6 +337,10 @@
     raise NoRelayError
 
 
+async def _have_no_doubt(dispatcher: Dispatcher) -> bool:
+    return False
+
+
 async def _keep_loads(dispatcher: Dispatcher, request: PlacementRequest) -> None:
     """Leave the load reports as they are."""
 
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -128,6 +128,7 @@
             list_candidates=self._list_relay_candidates,
         )
         self.gateway.attempts.relay = self.relay_client.run
+        self.gateway.attempts.wait_for_verdict = self.path_checker.wait_for_verdict
         self.relay_client.on_result = self.path_checker.record_relay_result
         self.path_checker.on_change = lambda: self.fleet.update_own(
             lost_services=self.path_checker.list_own_losses()
--- a/src/jasmineseam/node/path_checker.py
+++ b/src/jasmineseam/node/path_checker.py
@@ -40,6 +40,8 @@
         self._get_connections = get_connections
         self._rng = random.Random()
         self._tasks: dict[str, asyncio.Task] = {}
+        # set when it is known whether a path in doubt is lost, by service
+        self._verdicts: dict[str, asyncio.Event] = {}
         # services with lost paths that other nodes have reached
         self._reached_by_others: set[str] = set()
         self.lost_count = 0
@@ -75,6 +77,14 @@
             self._reached_by_others.add(service)
         self.on_change()
 
+    async def wait_for_verdict(self, dispatcher: Dispatcher) -> bool:
+        """Wait until it is known whether a path is lost; return whether it was in doubt."""
+        verdict = self._verdicts.get(dispatcher.service)
+        if verdict is None:
+            return False
+        await verdict.wait()
+        return True
+
     def close(self) -> None:
         """Stop all checks."""
         for task in self._tasks.values():
@@ -83,6 +93,7 @@
     def _handle_doubt(self, dispatcher: Dispatcher) -> None:
         if dispatcher.service in self._tasks:
             return
+        self._verdicts[dispatcher.service] = asyncio.Event()
         task = asyncio.create_task(self._verify(dispatcher))
         self._tasks[dispatcher.service] = task
         task.add_done_callback(lambda _: self._tasks.pop(dispatcher.service, None))
@@ -90,10 +101,13 @@
     async def _verify(self, dispatcher: Dispatcher) -> None:
         """Check a path that is in doubt; if it is lost, wait until it is back."""
         path = dispatcher.path
-        if await self._has_accepting_server(dispatcher):
-            path.dismiss_doubt()
-            return
-        dispatcher.mark_path_lost()
+        try:
+            if await self._has_accepting_server(dispatcher):
+                path.dismiss_doubt()
+                return
+            dispatcher.mark_path_lost()
+        finally:
+            self._verdicts.pop(dispatcher.service).set()
         lost_at = time.monotonic()
         self.lost_count += 1
         _logger.warning(
--- a/src/jasmineseam/node/proxied_request.py
+++ b/src/jasmineseam/node/proxied_request.py
@@ -18,7 +18,8 @@
     All ``*_at`` attributes are monotonic times in seconds. ``target_at`` is the time at which the
     response must be sent to meet the latency target of the route. ``sent`` is set before the first
     attempt is written to a connection, after which the request may have been run.
-    ``excluded_server_ids`` holds the servers that the request was already assigned to.
+    ``excluded_server_ids`` holds the servers that the request was already assigned to, and
+    ``reached_server_ids`` those of them to which a connection was available.
     ``attempt_count`` counts attempts for which a connection was available, so the server may have
     received the request. ``attempt_trace`` holds a text for each attempt, such as
     ``server:result:75ms:x1.5@10ms``: the server id, the result, the duration, the slowness in the
@@ -48,6 +49,7 @@
         "headers",
         "method",
         "path",
+        "reached_server_ids",
         "relayed",
         "route",
         "sent",
@@ -64,6 +66,7 @@
         self.head = RequestHead(request_id="", remaining_s=None)
         self.table_version = -1
         self.excluded_server_ids: set[str] = set()
+        self.reached_server_ids: set[str] = set()
         self.service_time_s = 0.0
         self.attempt_count = 0
         self.sent = False
--- a/src/jasmineseam/node/relays.py
+++ b/src/jasmineseam/node/relays.py
@@ -198,7 +198,7 @@
             target_s=proxied.target_at - now,
             elapsed_s=proxied.elapsed_before_arrival_s + now - proxied.arrived_at,
             counted=proxied.counted,
-            excluded_server_ids=sorted(proxied.excluded_server_ids),
+            excluded_server_ids=sorted(proxied.reached_server_ids),
         )
 
     def _decode_reply(self, reply: RelayedResponse, proxied: ProxiedRequest) -> ServerResponse:
--- a/src/jasmineseam/node/server_client.py
+++ b/src/jasmineseam/node/server_client.py
@@ -124,6 +124,7 @@
         response = None
         try:
             proxied.attempt_count += 1
+            proxied.reached_server_ids.add(load.server_id)
             response = await self._send_and_receive(proxied, load, connection)
         finally:
             if response is None:
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -42,6 +42,7 @@
 COMPLETION_RATE_WINDOW_S = 1.0
 NO_SERVER_RETRY_AFTER_S = 0.3
 PATH_LOST_RETRY_AFTER_S = 0.5
+REASON_NO_SERVER = "no-server"
 # minimum retry delay of a rejected infeasible request, which is late for its target, as a fraction
 # of the time until its deadline; MAX_RETRY_AFTER_S limits it
 LATE_RETRY_SHARE = 0.25
@@ -412,7 +413,7 @@
     def _get_unavailable_reason(self) -> str:
         if any(load.request_bucket is not None for load in self.loads.values()):
             return "server-limit"
-        return "no-server"
+        return REASON_NO_SERVER
 
     def _has_only_reserved_slots(self, now: float) -> bool:
         """Return whether all free slots are reserved for feasible requests."""
--- a/src/jasmineseam/transport/connection_pool.py
+++ b/src/jasmineseam/transport/connection_pool.py
@@ -46,7 +46,7 @@
                 return connection
             connection.close()
         try:
-            connection = await open_connection(address, self._connect_timeout_s)
+            connection = await self._open(address, self._connect_timeout_s)
         except AttemptNotRunError:
             self.failed_count += 1
             raise
@@ -59,7 +59,7 @@
         :param timeout_s: maximum time to open the connection, in seconds.
         """
         try:
-            connection = await open_connection(address, timeout_s)
+            connection = await self._open(address, timeout_s)
         except AttemptNotRunError:
             return False
         self.opened_count += 1
@@ -74,7 +74,7 @@
         if self.has_idle(address):
             return False
         try:
-            connection = await open_connection(address, self._connect_timeout_s)
+            connection = await self._open(address, self._connect_timeout_s)
         except AttemptNotRunError as error:
             return isinstance(error.__cause__, ConnectionError)
         connection.close()
@@ -134,3 +134,6 @@
             for connection in idle:
                 connection.close()
         self._idle.clear()
+
+    async def _open(self, address: str, timeout_s: float) -> ServerConnection:
+        return await open_connection(address, timeout_s)
