Send requests to both sides of a simulated cut, however few nodes are there

The precondition of 20 counted requests failed in long cases with one node on one side of 30 or 123.

--- a/src/jasmineseam/node/path_checker.py
+++ b/src/jasmineseam/node/path_checker.py
@@ -77,6 +77,10 @@
             self._reached_by_others.add(service)
         self.on_change()
 
+    def is_in_doubt(self, service: str) -> bool:
+        """Return whether it is being checked if the path to a service is lost."""
+        return service in self._verdicts
+
     async def wait_for_verdict(self, dispatcher: Dispatcher) -> bool:
         """Wait until it is known whether a path is lost; return whether it was in doubt."""
         verdict = self._verdicts.get(dispatcher.service)
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -37,6 +37,14 @@
     )
 
 
+async def send_load_to(simulation, names, requests_per_s, duration_s):
+    """Send requests to some nodes."""
+    nodes = [simulation.nodes[name] for name in sorted(names)]
+    await simulation.send_load(
+        requests_per_s, duration_s, choose_node=lambda: simulation.rng.choice(nodes)
+    )
+
+
 CASES = [
     *[(SMALL, choose_half, modes) for modes in CUT_MODES],
     (SMALL, choose_one_node, HANG),
@@ -63,6 +71,10 @@
     async def scenario(simulation):
         names = choose_names(simulation)
         load = simulation.spawn(send_load(simulation, requests_per_s, 14.0))
+        # enough requests on both sides of the cut, however few nodes are there
+        others = set(simulation.nodes) - names
+        for group in (names, others):
+            simulation.spawn(send_load_to(simulation, group, 10.0, 14.0))
         await asyncio.sleep(2.0)
         since, until = await cut_for(simulation, names, 8.0, **modes)
         ejections = list_ejections(simulation, names)
