--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,10 @@
 SEED ?= 1
 MINUTES ?= 2
 
-.PHONY: demo demo-standalone test lint format soak bench slopes lock clean
+SIMULATIONS := tests/test_crash_quarantine.py tests/test_fleet.py tests/test_lost_paths.py \
+	tests/test_request_limits.py
+
+.PHONY: demo demo-standalone test test-simulations test-others lint format soak bench slopes lock clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -20,8 +23,15 @@
 demo-standalone: $(STAMP)
 	$(BIN)/python -m bench.demo
 
+# The simulations use one core and no real time, so they run beside the other tests.
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(MAKE) --no-print-directory --jobs 2 --output-sync=target test-simulations test-others
+
+test-simulations:
+	$(BIN)/python -m pytest $(SIMULATIONS)
+
+test-others:
+	$(BIN)/python -m pytest $(addprefix --ignore=,$(SIMULATIONS))
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
