Bound what relays and checks of lost paths may do, and count relays

Found by reading: a relayed hedge did not count the attempt that still runs, so a request could reach one server more than its route allows; ids of relays repeated after a restart of a node; a lost path's probe on an open connection reached servers that ask for no requests, or name a limit; an unexpected error in a check left the path lost for good; a service without listed servers was checked for ever.

--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -95,7 +95,7 @@
             _keep_loads
         )
         # Runs a request through another node.
-        self.relay: t.Callable[[ProxiedRequest], t.Awaitable[ServerResponse]] = _find_no_relay
+        self.relay: t.Callable[..., t.Awaitable[ServerResponse]] = _find_no_relay
         # If it is in doubt whether this node reaches a service, waits until that is known, and
         # returns whether it was in doubt.
         self.wait_for_verdict: t.Callable[[Dispatcher], t.Awaitable[bool]] = _have_no_doubt
@@ -292,7 +292,7 @@
             if not budget.take_attempt():
                 raise AttemptNotRunError("no-hedge")
             try:
-                return await self.relay(proxied)
+                return await self.relay(proxied, hedge=True)
             except NotRunError as error:
                 raise AttemptNotRunError(error.reason) from error
             except UnknownOutcomeError as error:
@@ -333,7 +333,7 @@
         return budget
 
 
-async def _find_no_relay(proxied: ProxiedRequest) -> ServerResponse:
+async def _find_no_relay(proxied: ProxiedRequest, *, hedge: bool = False) -> ServerResponse:
     raise NoRelayError
 
 
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -231,6 +231,7 @@
             gateway=self.gateway,
             prober=self.prober,
             path_checker=self.path_checker,
+            relay_client=self.relay_client,
             registry=self.registry,
             request_log=self.request_log,
             output=self._output,
--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -90,6 +90,10 @@
             self._refresh_dispatcher(dispatcher)
         return dispatcher
 
+    def has_servers(self, service: str) -> bool:
+        """Return whether servers of a service are listed."""
+        return bool(self._registry.list_usable(service))
+
     def set_node_counts(self, node_count: int, local_node_count: int) -> None:
         """Set how many nodes use the same servers.
 
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -13,6 +13,7 @@
 from .gateway import Gateway
 from .load_prober import LoadProber
 from .path_checker import PathChecker
+from .relays import RelayClient
 
 REQUEST_DURATION_BUCKET_BOUNDS_S = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
 
@@ -23,6 +24,7 @@
     gateway: Gateway,
     prober: LoadProber,
     path_checker: PathChecker,
+    relay_client: RelayClient,
     registry: ServerRegistry,
     request_log: RequestLog,
     output: LineOutput,
@@ -60,6 +62,9 @@
     def read_lost_paths():
         return [(1, {"service": service}) for service in path_checker.list_lost_services()]
 
+    def read_relays():
+        return [(count, {"outcome": name}) for name, count in relay_client.outcome_counts.items()]
+
     def read_path_losses():
         return [(path_checker.lost_count, {})]
 
@@ -110,5 +115,6 @@
     add_gauge(provider, "requests.quarantined", "1", "They crash servers.", read_quarantined)
     add_counter(provider, "crashes", "1", "Of servers under requests of this node.", read_crashes)
     add_gauge(provider, "paths.lost", "1", "Services out of reach.", read_lost_paths)
+    add_counter(provider, "relays", "1", "Through other nodes, by outcome.", read_relays)
     add_counter(provider, "paths.losses", "1", "Of paths to services.", read_path_losses)
     add_gauge(provider, "servers.age", "s", "Age of the list of servers.", read_server_list_age)
--- a/src/jasmineseam/node/path_checker.py
+++ b/src/jasmineseam/node/path_checker.py
@@ -98,10 +98,19 @@
         if dispatcher.service in self._tasks:
             return
         self._verdicts[dispatcher.service] = asyncio.Event()
-        task = asyncio.create_task(self._verify(dispatcher))
+        task = asyncio.create_task(self._watch(dispatcher))
         self._tasks[dispatcher.service] = task
         task.add_done_callback(lambda _: self._tasks.pop(dispatcher.service, None))
 
+    async def _watch(self, dispatcher: Dispatcher) -> None:
+        try:
+            await self._verify(dispatcher)
+        except Exception:
+            _logger.exception(
+                "Checking the path to service {} failed; using it again.", dispatcher.service
+            )
+            dispatcher.path.mark_returned()
+
     async def _verify(self, dispatcher: Dispatcher) -> None:
         """Check a path that is in doubt; if it is lost, wait until it is back."""
         path = dispatcher.path
@@ -144,7 +153,7 @@
         return await self._count_accepting(dispatcher, SERVERS_PER_CHECK) > 0
 
     async def _is_back(self, dispatcher: Dispatcher) -> bool:
-        if not dispatcher.loads:
+        if not dispatcher.loads or not self._dispatchers.has_servers(dispatcher.service):
             return True
         needed = min(ACCEPTING_SERVERS_TO_RETURN, len(dispatcher.loads))
         return await self._count_accepting(dispatcher, SERVERS_PER_CHECK) >= needed
@@ -152,7 +161,14 @@
     async def _check_open_connection(self, dispatcher: Dispatcher) -> None:
         """Find out whether servers respond on connections that are still open."""
         connections = self._get_connections()
-        loads = [load for load in dispatcher.loads.values() if connections.has_idle(load.address)]
+        now = time.monotonic()
+        loads = [
+            load
+            for load in dispatcher.loads.values()
+            if connections.has_idle(load.address)
+            and load.request_bucket is None
+            and now >= load.get_available_at(now)
+        ]
         path = dispatcher.path
         if not loads:
             path.open_connections_respond = False
--- a/src/jasmineseam/node/relays.py
+++ b/src/jasmineseam/node/relays.py
@@ -76,7 +76,8 @@
         get_peer_client: t.Callable[[str], PeerClient],
         list_candidates: t.Callable[[str], list[NodeInfo]],
     ) -> None:
-        self._node_id = node_id
+        # differs in each start of this node
+        self._id_prefix = f"{node_id}/{time.time_ns() // 1_000_000}"
         self._header_codec = header_codec
         self._get_peer_client = get_peer_client
         self._list_candidates = list_candidates
@@ -91,9 +92,10 @@
         # Called with a service, and whether another node has reached it.
         self.on_result: t.Callable[[str, bool], None] = lambda service, reached: None
 
-    async def run(self, proxied: ProxiedRequest) -> ServerResponse:
+    async def run(self, proxied: ProxiedRequest, *, hedge: bool = False) -> ServerResponse:
         """Run a request through another node.
 
+        :param hedge: whether an attempt of this node is still running, which counts as one.
         :raises NoRelayError: if no other node reaches the service.
         :raises NotRunError: if the relaying node has refused the request.
         :raises UnknownOutcomeError: if a server may have run the request, but there is no response
@@ -106,7 +108,7 @@
             if node is None:
                 break
             offered.add(node.vm_id)
-            reply = await self._offer(node, proxied)
+            reply = await self._offer(node, proxied, hedge=hedge)
             if reply is None:
                 self._refused_until[node.vm_id, service] = time.monotonic() + REFUSAL_LIFETIME_S
                 continue
@@ -128,14 +130,19 @@
         sample = self._rng.sample(candidates, min(2, len(candidates)))
         return min(sample, key=lambda info: self._running[info.vm_id], default=None)
 
-    async def _offer(self, node: NodeInfo, proxied: ProxiedRequest) -> RelayedResponse | None:
+    async def _offer(
+        self, node: NodeInfo, proxied: ProxiedRequest, *, hedge: bool
+    ) -> RelayedResponse | None:
         """Send a request to a node; return ``None`` if it can't reach the service either.
 
         :raises UnknownOutcomeError: if the response is lost.
         """
         started_at = time.monotonic()
         self._last_number += 1
-        message = self._build_message(proxied, f"{self._node_id}/{self._last_number}")
+        used_attempts = max(proxied.attempt_count, int(hedge))
+        message = self._build_message(
+            proxied, f"{self._id_prefix}-{self._last_number}", used_attempts
+        )
         client = self._get_peer_client(node.peer_address)
         # A reply that arrives later than this has become useless; the deadline comes before.
         timeout_s = proxied.deadline_at - started_at + CANCELLATION_TIMEOUT_S
@@ -179,14 +186,16 @@
                 return None
         return reply
 
-    def _build_message(self, proxied: ProxiedRequest, relay_id: str) -> RelayedRequest:
+    def _build_message(
+        self, proxied: ProxiedRequest, relay_id: str, used_attempts: int
+    ) -> RelayedRequest:
         now = time.monotonic()
         route = proxied.route
         return RelayedRequest(
             relay_id=relay_id,
             service=proxied.dispatcher.service,
             route=msgspec.structs.replace(
-                route, max_attempts=max(1, route.max_attempts - proxied.attempt_count)
+                route, max_attempts=max(1, route.max_attempts - used_attempts)
             ),
             table_version=proxied.table_version,
             request_id=proxied.head.request_id,
