--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -27,7 +27,8 @@
     deployment.instances["i-1"].behaviour = InstanceBehaviour(work_s=0.6)
     requests = [deployment.send_request(node, "/safe/1") for _ in range(16)]
     others = asyncio.ensure_future(asyncio.gather(*requests))
-    await asyncio.sleep(0.1)
+    instance = deployment.instances["i-1"]
+    await wait_until(lambda: instance.running == instance.slots, "all slots are taken")
     status, headers, _ = await deployment.send_request(node, "/safe/1", request_id="lost-7")
     assert status == 503
     assert float(headers["Retry-After"]) > 0
