--- a/src/jasmineseam/node/path_checker.py
+++ b/src/jasmineseam/node/path_checker.py
@@ -109,14 +109,13 @@
             _logger.exception(
                 "Checking the path to service {} failed; using it again.", dispatcher.service
             )
-            dispatcher.path.mark_returned()
+            self._use_again(dispatcher)
 
     async def _verify(self, dispatcher: Dispatcher) -> None:
         """Check a path that is in doubt; if it is lost, wait until it is back."""
-        path = dispatcher.path
         try:
             if await self._has_accepting_server(dispatcher):
-                path.dismiss_doubt()
+                dispatcher.path.dismiss_doubt()
                 return
             dispatcher.mark_path_lost()
         finally:
@@ -136,18 +135,21 @@
         while not await self._is_back(dispatcher):
             await self._check_open_connection(dispatcher)
             await asyncio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.8, 1.2))
-        path.mark_returned()
-        self._reached_by_others.discard(dispatcher.service)
         _logger.info(
             "Servers of service {} accept connections again after {:.2f} s; "
             "sending a growing part of its requests to them.",
             dispatcher.service,
             time.monotonic() - lost_at,
         )
+        self._use_again(dispatcher)
+
+    def _use_again(self, dispatcher: Dispatcher) -> None:
+        dispatcher.path.mark_returned()
+        self._reached_by_others.discard(dispatcher.service)
         self.on_change()
 
     async def _has_accepting_server(self, dispatcher: Dispatcher) -> bool:
-        # While servers still respond, one connection mostly decides.
+        # While servers still respond on open connections, the failed one is mostly down itself.
         if not dispatcher.path.is_silent() and await self._count_accepting(dispatcher, 1):
             return True
         return await self._count_accepting(dispatcher, SERVERS_PER_CHECK) > 0
--- a/src/jasmineseam/node/relays.py
+++ b/src/jasmineseam/node/relays.py
@@ -18,6 +18,7 @@
 from multidict import CIMultiDict
 
 from ..exceptions import NotRunError
+from ..exceptions import PathLostError
 from ..exceptions import PeerError
 from ..exceptions import PeerReplyLostError
 from ..exceptions import PeerUnreachableError
@@ -30,6 +31,9 @@
 from ..requests.protocol import HeaderCodec
 from ..requests.protocol import RequestHead
 from ..requests.protocol import ServerResponse
+from ..routing.dispatch import PATH_LOST_RETRY_AFTER_S
+from ..routing.dispatch import REASON_NO_PATH
+from ..routing.dispatch import REASON_NO_SERVER
 from .proxied_request import ProxiedRequest
 
 # number of nodes to which a request is offered
@@ -41,22 +45,19 @@
 RELAY_MARGIN_S = 0.01
 # A node that did not take a request for a service is not asked again for this time, in seconds.
 REFUSAL_LIFETIME_S = 1.0
-# Retry-After time if no other node reaches the service either
-NO_PATH_RETRY_AFTER_S = 0.5
 # A larger request is not relayed.
 MAX_RELAYED_BODY_BYTES = 32 * 1024 * 1024
-REASON_NO_PATH = "no-path"
 REASON_LEAVING = "leaving"
 # reasons for which a relaying node has not run a request that another node may be able to run
-_UNABLE_REASONS = frozenset({REASON_NO_PATH, REASON_LEAVING, "connect", "no-server", "starting"})
+_UNABLE_REASONS = frozenset({REASON_NO_PATH, REASON_NO_SERVER, REASON_LEAVING, "connect"})
 _logger = logbook.Logger("relays")
 
 
-class NoRelayError(NotRunError):
-    """No other node reaches the service."""
+class NoRelayError(PathLostError):
+    """No other node reaches the service either."""
 
     def __init__(self) -> None:
-        super().__init__(REASON_NO_PATH, 503, NO_PATH_RETRY_AFTER_S)
+        super().__init__(REASON_NO_PATH, 503, PATH_LOST_RETRY_AFTER_S)
 
 
 class RelayClient:
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -42,6 +42,7 @@
 COMPLETION_RATE_WINDOW_S = 1.0
 NO_SERVER_RETRY_AFTER_S = 0.3
 PATH_LOST_RETRY_AFTER_S = 0.5
+REASON_NO_PATH = "no-path"
 REASON_NO_SERVER = "no-server"
 # minimum retry delay of a rejected infeasible request, which is late for its target, as a fraction
 # of the time until its deadline; MAX_RETRY_AFTER_S limits it
@@ -453,7 +454,7 @@
 
 
 def _build_path_lost_error() -> PathLostError:
-    return PathLostError("no-path", 503, PATH_LOST_RETRY_AFTER_S)
+    return PathLostError(REASON_NO_PATH, 503, PATH_LOST_RETRY_AFTER_S)
 
 
 def _update_service_time_s(current_s: float, sample_s: float) -> float:
