Do not offer a request to a second node once it may have been sent

BUDGET: a relaying node that had sent a request to two servers, which answered 421, returned it as unable, and the next one sent it on without a token of the retry budget. Such a request now ends. TWICE, suspected and not traced: a message between nodes that was sent at the moment of its timeout counted as not sent, since the timeout cancelled the task and not the sending; the request was then offered to another node. The timeout now cancels the sending itself, which fails if the message has been sent.

--- a/src/jasmineseam/node/relays.py
+++ b/src/jasmineseam/node/relays.py
@@ -183,7 +183,7 @@
             ]
         if reply.reason and not reply.may_have_run:
             proxied.sent = sent_before
-            if reply.reason in _UNABLE_REASONS:
+            if reply.reason in _UNABLE_REASONS and not reply.reached_servers:
                 return None
         return reply
 
@@ -309,6 +309,7 @@
         finally:
             self._record(proxied, outcome, status, message.relay_id)
         reply.tried = proxied.attempt_trace
+        reply.reached_servers = len(proxied.reached_server_ids)
         return reply
 
 
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -385,6 +385,7 @@
     :param may_have_run: whether a server may have run the request, if there is no response.
     :param retry_after_s: delay after which a retry can succeed, in seconds.
     :param tried: the attempts, as in the request log.
+    :param reached_servers: number of servers that received an attempt.
     """
 
     status: t.Annotated[int, msgspec.Meta(ge=100, le=999)]
@@ -394,6 +395,7 @@
     may_have_run: bool = False
     retry_after_s: float | None = None
     tried: list[str] = []
+    reached_servers: int = 0
 
 
 class RelayCancellation(Message, tag="relay-cancellation"):
--- a/src/jasmineseam/peers/rpc.py
+++ b/src/jasmineseam/peers/rpc.py
@@ -170,13 +170,14 @@
                 reply.exception()
 
     async def _send(self, frames: list[bytes], timeout_s: float) -> None:
+        sending = asyncio.ensure_future(self._socket.send_multipart(frames))
         try:
-            async with asyncio.timeout(timeout_s):
-                await self._socket.send_multipart(frames)
-        except (TimeoutError, zmq.ZMQError) as error:
-            raise PeerUnreachableError(
-                f"{self.address}: message not sent, no connection"
-            ) from error
+            await asyncio.wait({sending}, timeout=timeout_s)
+        finally:
+            # A message that was sent at the moment of the timeout can't be cancelled any more.
+            sending.cancel()
+        if sending.cancelled() or sending.exception() is not None:
+            raise PeerUnreachableError(f"{self.address}: message not sent, no connection")
 
     async def _receive(self) -> None:
         while True:
