Decode client accounts, warm-up limits, home regions and their settings

Nodes send each other the routing table, so it holds digests of the accounts' keys and not the keys. A configuration in which two accounts share a key or a name is rejected whole.

--- a/src/jasmineseam/operations/node_settings.py
+++ b/src/jasmineseam/operations/node_settings.py
@@ -68,6 +68,30 @@
     window_s: float
 
 
+class WarmupSettings(msgspec.Struct, kw_only=True, frozen=True):
+    """Limit on the requests that a cold server gets from all nodes within any second.
+
+    The limit is the service's requests per second during warm-up, times *overage*, plus *slack*.
+    """
+
+    overage: float = 1.0
+    slack: float = 0.0
+
+
+class QuotaSettings(msgspec.Struct, kw_only=True, frozen=True):
+    """How far all nodes together may exceed the quota of a client account.
+
+    In any window, the requests that run are at most *(requests per second x window + burst) x
+    (1 + overage) + slack*.
+
+    :param window_s: length of the sliding window, in seconds.
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+
 class NodeSettings(msgspec.Struct, kw_only=True, frozen=True):
     """Deployment settings of a node.
 
@@ -79,6 +103,15 @@
     :param grace_s: time between the stop signal and the kill, in seconds.
     :param longest_lifetime_s: maximum time that a caller caches a locator response, in seconds.
     :param first_start: whether the whole system starts for the first time.
+    :param regions: region of each failure domain; empty if there is only one region.
+    :param warmup: limit on the requests to cold servers.
+    :param quotas: tolerance of the quotas of client accounts.
+    :param evacuation_s: time after which an evacuation is in force at all nodes, in seconds.
+    :param configuration_s: time after which a routing table is in force at all nodes, in seconds.
+    :param key_revocation_s: time after which a removed key of a client account is not accepted any
+        more, in seconds; 0 if the platform sets none.
+    :param fail_closed: whether a node that could not confirm its routing table for that time
+        refuses requests that need a key.
     """
 
     vm: NodeVm
@@ -90,6 +123,13 @@
     grace_s: float
     longest_lifetime_s: float
     first_start: bool = False
+    regions: dict[str, str] = {}
+    warmup: WarmupSettings = WarmupSettings()
+    quotas: QuotaSettings = QuotaSettings()
+    evacuation_s: float = 5.0
+    configuration_s: float = 2.5
+    key_revocation_s: float = 0.0
+    fail_closed: bool = False
 
 
 class ProbeOptions(msgspec.Struct, kw_only=True, forbid_unknown_fields=True, frozen=True):
--- a/src/jasmineseam/platform/headers.py
+++ b/src/jasmineseam/platform/headers.py
@@ -16,6 +16,15 @@
 EXPECTED_SERVER_HEADER = "Jasmineseam-Expect-Instance"
 RESPONSE_SIGNATURE_HEADER = "Jasmineseam-Response-Signature"
 NOT_EXECUTED_HEADER = "Jasmineseam-Not-Executed"
+# key of a client account, after KEY_SCHEME
+KEY_HEADER = "Authorization"
+KEY_SCHEME = "bearer"
+# name of the client account, which the node sets on requests to servers
+ACCOUNT_HEADER = "Jasmineseam-Tenant"
+# time for which the server will be cold, in milliseconds
+WARMUP_HEADER = "Jasmineseam-Warmup-Ms"
+# A longer time is treated as an error of the server.
+MAX_WARMUP_MS = 3_600_000.0
 SERVER_ID_HEADER = "Jasmineseam-Instance-Id"
 # "1" in all responses of a server that is about to stop
 LEAVING_HEADER = "Server-Leaving"
@@ -81,9 +90,37 @@
             else 0.0
         ),
         request_limit_per_s=parse_request_limit(headers.get(REQUEST_LIMIT_HEADER)),
+        warmup_left_s=parse_warmup(headers.get(WARMUP_HEADER)),
     )
 
 
+def decode_key(headers: t.Mapping[str, str]) -> str | None:
+    """Return the key of a client account from a request's headers, ``None`` if there is none.
+
+    >>> decode_key({"Authorization": "Bearer k1"}), decode_key({"Authorization": "Basic k1"})
+    ('k1', None)
+    """
+    scheme, _, key = headers.get(KEY_HEADER, "").strip().partition(" ")
+    if scheme.lower() != KEY_SCHEME:
+        return None
+    return key.strip() or None
+
+
+def encode_account(name: str) -> list[tuple[str, str]]:
+    """Return the headers that name a request's client account to a server."""
+    return [(ACCOUNT_HEADER, name)]
+
+
+def parse_warmup(text: str | None) -> float | None:
+    """Parse a remaining warm-up time in milliseconds and return it in seconds.
+
+    >>> parse_warmup("1500"), parse_warmup(None), parse_warmup("soon")
+    (1.5, None, None)
+    """
+    warmup_ms = None if text is None else _parse_number(text, MAX_WARMUP_MS)
+    return None if warmup_ms is None else warmup_ms / 1000
+
+
 def parse_retry_after(text: str) -> float:
     """Parse a ``Retry-After`` header in seconds; return 0 if it is missing or malformed.
 
@@ -137,4 +174,7 @@
     headers_set_by_node=frozenset(
         name.lower() for name in (REQUEST_ID_HEADER, DEADLINE_MS_HEADER, EXPECTED_SERVER_HEADER)
     ),
+    decode_key=decode_key,
+    encode_account=encode_account,
+    account_headers=frozenset((KEY_HEADER.lower(), ACCOUNT_HEADER.lower())),
 )
--- a/src/jasmineseam/platform/records.py
+++ b/src/jasmineseam/platform/records.py
@@ -12,10 +12,12 @@
 from ..membership.registry import ServerListing
 from ..membership.servers import Server
 from ..routing.routes import CallerLimits
+from ..routing.routes import ClientAccount
 from ..routing.routes import Route
 from ..routing.routes import RoutingTable
 from ..routing.routes import ServiceInfo
 from ..routing.routes import WeightedService
+from ..routing.routes import hash_key
 from .settings import parse_duration
 from .store_client import KeyedRecord
 
@@ -30,6 +32,7 @@
 Address = t.Annotated[str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
 Count = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 PositiveCount = t.Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+Rate = t.Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 
 
 class _WeightedBackend(msgspec.Struct):
@@ -46,6 +49,7 @@
         "max_attempts": "max-attempts",
         # weighted services that share the route's requests
         "parts": "backends",
+        "home_regions": "allowed-regions",
     },
 ):
     name: str
@@ -58,13 +62,42 @@
     max_attempts: PositiveCount = 1
     service: str | None = None
     parts: list[_WeightedBackend] = []
+    public: bool = False
+    home_regions: list[str] = []
 
 
-class _Service(msgspec.Struct, rename={"health_path": "health-path", "max_conns": "max-conns"}):
+class _Service(
+    msgspec.Struct,
+    rename={
+        "health_path": "health-path",
+        "max_conns": "max-conns",
+        "warmup_requests_per_s": "warmup-per-s",
+    },
+):
     name: str
     health_path: str = "/"
     # maximum connections to one server, summed over all callers; 0 for no limit
     max_conns: Count = 0
+    warmup: str = "0ms"
+    warmup_requests_per_s: Rate = 0.0
+
+
+# The platform's name for a client account is a tenant.
+class _Tenant(
+    msgspec.Struct,
+    rename={
+        "keys": "api-keys",
+        "requests_per_s": "rate-per-s",
+        "home_regions": "allowed-regions",
+    },
+):
+    name: t.Annotated[str, msgspec.Meta(min_length=1)]
+    keys: list[t.Annotated[str, msgspec.Meta(min_length=1)]] = []
+    # 0 for no quota
+    requests_per_s: Rate = 0.0
+    burst: Rate = 0.0
+    priority: Count = 0
+    home_regions: list[str] = []
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -80,6 +113,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
 
 
 class _ServerRecord(msgspec.Struct, rename={"warmup_left": "warmup-left"}):
@@ -111,6 +145,8 @@
                     name=service.name,
                     health_path=service.health_path,
                     max_connections=service.max_conns,
+                    warmup_s=parse_duration(service.warmup),
+                    warmup_requests_per_s=service.warmup_requests_per_s,
                 )
                 for service in configuration.services
             ],
@@ -120,6 +156,7 @@
                 header_timeout_s=parse_duration(limits.header_timeout),
                 idle_timeout_s=parse_duration(limits.idle_timeout),
             ),
+            accounts=_convert_tenants(configuration.tenants),
         )
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise InvalidRecordError(CONFIGURATION_KEY, str(error)) from error
@@ -173,6 +210,34 @@
         raise ValueError(f"port {port} is out of range")
 
 
+def _convert_tenants(tenants: list[_Tenant]) -> list[ClientAccount]:
+    """Convert the client accounts; a key or a name that two of them share is an error."""
+    accounts = []
+    names = set()
+    holders: dict[bytes, str] = {}
+    for tenant in tenants:
+        if tenant.name in names:
+            raise ValueError(f"client account {tenant.name!r} exists twice")
+        names.add(tenant.name)
+        key_hashes = [hash_key(key) for key in tenant.keys]
+        for key_hash in key_hashes:
+            holder = holders.setdefault(key_hash, tenant.name)
+            if holder != tenant.name:
+                # The key itself must not appear in the error message.
+                raise ValueError(f"client accounts {holder!r} and {tenant.name!r} share a key")
+        accounts.append(
+            ClientAccount(
+                name=tenant.name,
+                key_hashes=key_hashes,
+                requests_per_s=tenant.requests_per_s,
+                burst=tenant.burst,
+                priority=tenant.priority,
+                home_regions=tenant.home_regions,
+            )
+        )
+    return accounts
+
+
 def _convert_route(route: _Route) -> Route:
     services = [WeightedService(service=part.service, weight=part.weight) for part in route.parts]
     if not services:
@@ -190,4 +255,7 @@
         priority=route.priority,
         timeout_s=None if route.timeout is None else parse_duration(route.timeout),
         target_s=None if route.target is None else parse_duration(route.target),
+        public=route.public,
+        home_regions=route.home_regions,
+        large_bodies=route.kind == "upload",
     )
--- a/src/jasmineseam/platform/settings.py
+++ b/src/jasmineseam/platform/settings.py
@@ -16,7 +16,9 @@
 from ..operations.node_settings import NodeListeners
 from ..operations.node_settings import NodeSettings
 from ..operations.node_settings import NodeVm
+from ..operations.node_settings import QuotaSettings
 from ..operations.node_settings import RetryBudgetSettings
+from ..operations.node_settings import WarmupSettings
 
 SETTINGS_FILE_VARIABLE = "JASMINESEAM_NODE_FILE"
 _DURATION_PATTERN = re.compile(r"^([0-9]+(?:\.[0-9]+)?)(ms|s)$")
@@ -47,6 +49,8 @@
     # first and last port of the range that is reserved for traffic between nodes
     own_ports: tuple[int, int]
     seeds: list[str] = []
+    # region of each failure domain
+    zones: dict[str, str] = {}
 
 
 class _Store(msgspec.Struct):
@@ -65,6 +69,13 @@
         "slack": "retry-budget-slack",
         "window": "budget-window",
         "probes_per_s": "probes-per-s",
+        "warmup_overage": "warmup-overage",
+        "warmup_slack": "warmup-slack",
+        "quota_window": "quota-window",
+        "quota_overage": "quota-overage",
+        "quota_slack": "quota-slack",
+        "configuration": "config-apply",
+        "fail_closed": "fail-closed",
     },
 ):
     grace: str
@@ -73,6 +84,15 @@
     slack: float = 0.0
     window: str = "10s"
     probes_per_s: float = 0.0
+    warmup_overage: float = 1.0
+    warmup_slack: float = 0.0
+    quota_window: str = "5s"
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
+    evacuate: str = "5s"
+    configuration: str = "2.5s"
+    revoke: str = "0ms"
+    fail_closed: bool = False
 
 
 class _Terms(msgspec.Struct):
@@ -157,4 +177,15 @@
         grace_s=parse_duration(bounds.grace),
         longest_lifetime_s=parse_duration(bounds.ttl_max),
         first_start=file.own.bootstrap,
+        regions=file.network.zones,
+        warmup=WarmupSettings(overage=bounds.warmup_overage, slack=bounds.warmup_slack),
+        quotas=QuotaSettings(
+            window_s=parse_duration(bounds.quota_window),
+            overage=bounds.quota_overage,
+            slack=bounds.quota_slack,
+        ),
+        evacuation_s=parse_duration(bounds.evacuate),
+        configuration_s=parse_duration(bounds.configuration),
+        key_revocation_s=parse_duration(bounds.revoke),
+        fail_closed=bounds.fail_closed,
     )
--- a/src/jasmineseam/requests/protocol.py
+++ b/src/jasmineseam/requests/protocol.py
@@ -36,6 +36,8 @@
         seconds.
     :param request_limit_per_s: requests per second that the server accepts from all nodes
         together, ``None`` if it names no limit.
+    :param warmup_left_s: time for which the server will be cold, in seconds; ``None`` if the
+        response does not name it.
     """
 
     request_id: str
@@ -47,6 +49,7 @@
     leaving: bool = False
     retry_after_s: float = 0.0
     request_limit_per_s: float | None = None
+    warmup_left_s: float | None = None
 
 
 class HeaderCodec(t.NamedTuple):
@@ -59,12 +62,22 @@
     :param decode_response: decodes the status and headers of a response.
     :param headers_set_by_node: lower-case names of the headers that the node sets on requests that
         it forwards to servers.
+    :param decode_key: returns the key of a client account from the headers of a request, ``None``
+        if there is none.
+    :param encode_account: returns the headers of a request to a server that name the client
+        account.
+    :param account_headers: lower-case names of the headers that hold a caller's key or name a
+        client account. If the configuration holds client accounts, they are not forwarded as
+        received.
     """
 
     decode_request: t.Callable[[t.Mapping[str, str]], RequestHead]
     encode_request: t.Callable[[str, float, str], list[tuple[str, str]]]
     decode_response: t.Callable[[int, t.Mapping[str, str]], ResponseHead]
     headers_set_by_node: frozenset[str]
+    decode_key: t.Callable[[t.Mapping[str, str]], str | None] = lambda headers: None
+    encode_account: t.Callable[[str], list[tuple[str, str]]] = lambda name: []
+    account_headers: frozenset[str] = frozenset()
 
 
 class ServerResponse(t.NamedTuple):
--- a/src/jasmineseam/routing/routes.py
+++ b/src/jasmineseam/routing/routes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import hashlib
+
 import msgspec
 
 
@@ -26,6 +28,9 @@
     :param timeout_s: maximum time from the arrival of a request until its response, in seconds,
         ``None`` for no limit.
     :param target_s: target latency in seconds, ``None`` for none.
+    :param public: whether requests need no key of a client account.
+    :param home_regions: regions whose servers may receive the requests, empty for all.
+    :param large_bodies: whether requests are uploads, whose bodies are large.
     """
 
     name: str
@@ -37,6 +42,9 @@
     priority: int = 0
     timeout_s: float | None = None
     target_s: float | None = None
+    public: bool = False
+    home_regions: list[str] = []
+    large_bodies: bool = False
 
 
 class ServiceInfo(msgspec.Struct, kw_only=True, frozen=True):
@@ -44,11 +52,35 @@
 
     :param health_path: path that probes request.
     :param max_connections: connections that each server accepts from all clients, 0 for no limit.
+    :param warmup_s: time for which a server is cold after its start, in seconds.
+    :param warmup_requests_per_s: requests per second that a cold server accepts from all nodes
+        together, 0 for no limit.
     """
 
     name: str
     health_path: str = "/"
     max_connections: int = 0
+    warmup_s: float = 0.0
+    warmup_requests_per_s: float = 0.0
+
+
+class ClientAccount(msgspec.Struct, kw_only=True, frozen=True):
+    """The operator's configuration for one client account.
+
+    :param key_hashes: digests of the account's keys, see :func:`hash_key`. The keys themselves are
+        not part of the routing table, which nodes send each other.
+    :param requests_per_s: quota of all nodes together, 0 for no limit.
+    :param burst: number of requests that the quota allows in addition to its rate.
+    :param priority: 0 is the highest priority; it precedes the priority of the route.
+    :param home_regions: regions whose servers may receive the requests, empty for all.
+    """
+
+    name: str
+    key_hashes: list[bytes]
+    requests_per_s: float = 0.0
+    burst: float = 0.0
+    priority: int = 0
+    home_regions: list[str] = []
 
 
 class CallerLimits(msgspec.Struct, kw_only=True, frozen=True):
@@ -73,6 +105,7 @@
     routes: list[Route]
     services: list[ServiceInfo]
     limits: CallerLimits = CallerLimits()
+    accounts: list[ClientAccount] = []
 
 
 class RouteIndex:
@@ -91,7 +124,7 @@
     True
     """
 
-    __slots__ = ("_by_host", "services", "table")
+    __slots__ = ("_account_by_key_hash", "_by_host", "services", "table")
 
     def __init__(self, *, table: RoutingTable) -> None:
         self.table = table
@@ -100,6 +133,18 @@
         for route in table.routes:
             by_prefix = self._by_host.setdefault(route.host.lower(), {})
             by_prefix[route.path_prefix] = route
+        self._account_by_key_hash = {
+            key_hash: account for account in table.accounts for key_hash in account.key_hashes
+        }
+
+    @property
+    def requires_keys(self) -> bool:
+        """Whether a request needs the key of a client account, unless its route is public."""
+        return bool(self.table.accounts)
+
+    def find_account(self, key: str) -> ClientAccount | None:
+        """Return the client account that holds a key, ``None`` if there is none."""
+        return self._account_by_key_hash.get(hash_key(key))
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, ``None`` if no route matches.
@@ -119,6 +164,17 @@
         return None
 
 
+def hash_key(key: str) -> bytes:
+    """Return the digest by which a client account's key is known to the nodes.
+
+    Keys may contain any characters that a header can.
+
+    >>> hash_key("k1") == hash_key("k1"), hash_key("k1") == hash_key("k2"), len(hash_key("k1"))
+    (True, False, 32)
+    """
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).digest()
+
+
 class WeightedRoundRobin:
     """Distributes the requests of each route by smooth weighted round robin over its services.
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 import json
 
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies as st
 
@@ -14,6 +15,7 @@
 from jasmineseam.peers.messages import StateReply
 from jasmineseam.peers.messages import decode_message
 from jasmineseam.peers.messages import encode_message
+from jasmineseam.platform.headers import decode_key
 from jasmineseam.platform.headers import decode_request_headers
 from jasmineseam.platform.headers import decode_response_headers
 from jasmineseam.platform.headers import encode_request_headers
@@ -23,6 +25,7 @@
 from jasmineseam.platform.settings import load_settings
 from jasmineseam.platform.settings import parse_settings
 from jasmineseam.platform.store_client import KeyedRecord
+from jasmineseam.routing.routes import RouteIndex
 from standins.configuration import build_configuration
 from standins.configuration import build_route
 
@@ -133,6 +136,83 @@
 }
 
 
+ACCOUNTS = [
+    {
+        "name": "a1",
+        "api-keys": ["k1", "k2"],
+        "priority": 1,
+        "rate-per-s": 131,
+        "burst": 7.5,
+        "allowed-regions": ["north"],
+    },
+    {"name": "a2", "api-keys": ["k3"]},
+]
+
+
+def build_configuration_with_accounts(accounts):
+    configuration = build_configuration(1, [build_route("/")])
+    configuration["tenants"] = accounts
+    return json.dumps(configuration).encode()
+
+
+def test_client_accounts_are_decoded_without_their_keys():
+    # Nodes send each other the table, so a key in it would leave the node.
+    table = decode_routing_table(build_configuration_with_accounts(ACCOUNTS))
+    first, second = table.accounts
+    assert (first.name, first.priority, first.requests_per_s, first.burst) == ("a1", 1, 131, 7.5)
+    assert first.home_regions == ["north"]
+    assert (second.name, second.priority, second.requests_per_s) == ("a2", 0, 0)
+    index = RouteIndex(table=table)
+    assert [index.find_account(key) for key in ("k1", "k2", "k3", "k4")] == [
+        first,
+        first,
+        second,
+        None,
+    ]
+    encoded = msgspec.msgpack.encode(table)
+    assert not any(key in encoded for key in (b"k1", b"k2", b"k3"))
+
+
+@pytest.mark.parametrize(
+    "accounts",
+    [
+        [{"name": "a1", "api-keys": ["secret"]}, {"name": "a2", "api-keys": ["secret"]}],
+        [{"name": "a1", "api-keys": ["secret"]}, {"name": "a1", "api-keys": ["k2"]}],
+        [{"api-keys": ["secret"]}],
+        [{"name": "a1", "api-keys": ["secret"], "rate-per-s": -1}],
+        [{"name": "a1", "api-keys": "secret"}],
+    ],
+    ids=["shared_key", "shared_name", "no_name", "negative_rate", "no_list"],
+)
+def test_configuration_with_invalid_accounts_is_rejected_without_naming_keys(accounts):
+    with pytest.raises(InvalidRecordError) as raised:
+        decode_routing_table(build_configuration_with_accounts(accounts))
+    assert "secret" not in str(raised.value)
+
+
+@pytest.mark.parametrize(
+    ("headers", "key"),
+    [
+        ({"Authorization": "Bearer k1"}, "k1"),
+        ({"Authorization": "bearer  k1 "}, "k1"),
+        ({"Authorization": "Basic k1"}, None),
+        ({"Authorization": "Bearer"}, None),
+        ({}, None),
+    ],
+)
+def test_key_of_a_request(headers, key):
+    assert decode_key(headers) == key
+
+
+@pytest.mark.parametrize(
+    ("text", "warmup_left_s"),
+    [("2500", 2.5), ("0", 0.0), (None, None), ("-1", None), ("nan", None), ("1e99", None)],
+)
+def test_remaining_warmup_of_a_server(text, warmup_left_s):
+    headers = {} if text is None else {"Jasmineseam-Warmup-Ms": text}
+    assert decode_response_headers(200, headers).warmup_left_s == warmup_left_s
+
+
 def test_server_record_is_decoded():
     listing = decode_listing(KeyedRecord(key="i-1", value=json.dumps(SERVER_RECORD).encode()))
     assert (listing.server.server_id, listing.server.leaving) == ("i-1", False)
