--- a/src/jasmineseam/node/proxied_request.py
+++ b/src/jasmineseam/node/proxied_request.py
@@ -9,6 +9,7 @@
 from ..requests.fingerprint import compute_fingerprint
 from ..requests.protocol import RequestHead
 from ..routing.dispatch import Dispatcher
+from ..routing.routes import ClientAccount
 from ..routing.routes import Route
 
 
@@ -30,10 +31,12 @@
     the routing table, -1 if none was applied. ``crash_checks`` holds the checks of servers whose
     connection broke under the request. ``fingerprint`` is empty until it is computed.
     ``relayed`` is set if another node has received the request from its caller. ``counted`` is set
-    when a node has counted the request for its retry budget.
+    when a node has counted the request for its retry budget. ``account`` is the client account
+    that holds the request's key, ``None`` if there is none.
     """
 
     __slots__ = (
+        "account",
         "arrived_at",
         "attempt_count",
         "attempt_trace",
@@ -62,6 +65,7 @@
         self.arrived_at = time.monotonic()
         self.target_at = self.deadline_at = self.arrived_at
         self.route: Route | None = None
+        self.account: ClientAccount | None = None
         self.dispatcher: Dispatcher | None = None
         self.head = RequestHead(request_id="", remaining_s=None)
         self.table_version = -1
