Send requests to other failure domains only if that pays

Change: servers of the own domain are borrowed first; a request goes to another domain if only that one can meet its target, or if it saves more time than the round trip and a price for its bytes, which operators set (transfer_price_ms_per_mb).

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -318,10 +318,8 @@
 
         async def send_hedge() -> None:
             await self._probe(node)
-            now = self._loop.time()
-            remaining_s = request.target_at - now
             hedge_load = dispatcher.choose_hedge_server(
-                {load.server_id}, request.service_time_s, remaining_s
+                request._replace(excluded_server_ids={load.server_id})
             )
             if hedge_load is None or not self._retry_budgets[node].take_attempt(
                 HEDGE_RESERVED_BUDGET_FRACTION
--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -205,6 +205,7 @@
                 await self.crash_detector.wait_for_checks(proxied)
                 continue
             self.crash_detector.record_response(proxied, response)
+            self._dispatchers.transfer_prices.record_response(route.name, len(response.body))
             if response.status < MIN_SERVER_ERROR_STATUS or not route.idempotent:
                 return response
             last_result = response
@@ -269,6 +270,9 @@
             deadline_at=proxied.deadline_at,
             excluded_server_ids=proxied.excluded_server_ids,
             idempotent=proxied.route.idempotent,
+            transfer_price_s=self._dispatchers.transfer_prices.get_price_s(
+                proxied.route.name, len(proxied.body)
+            ),
         )
 
     async def _send_hedged_attempt(
@@ -301,10 +305,10 @@
                 raise AttemptOutcomeUnknownError(error.reason) from error
 
         async def send_probed_hedge() -> ServerResponse:
-            await self.refresh_loads(dispatcher, self._build_placement_request(proxied))
-            time_to_target_s = proxied.target_at - time.monotonic()
+            request = self._build_placement_request(proxied)
+            await self.refresh_loads(dispatcher, request)
             hedge_server = dispatcher.choose_hedge_server(
-                proxied.excluded_server_ids, proxied.service_time_s, time_to_target_s
+                request._replace(target_at=proxied.target_at)
             )
             if self.crash_detector.is_suspected(proxied):
                 raise AttemptNotRunError("no-hedge")
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -117,6 +117,7 @@
             retry_limits=settings.retries,
             request_log=self.request_log,
             caller_round_trip_s=options.caller_round_trip_s,
+            transfer_price_s_per_mb=options.transfer_price_ms_per_mb / 1000,
         )
         self.path_checker = PathChecker(
             dispatchers=self.gateway.dispatchers, get_connections=lambda: self.gateway.connections
--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -11,6 +11,8 @@
 from ..membership.registry import ServerRegistry
 from ..membership.request_limits import RequestLimits
 from ..routing.dispatch import Dispatcher
+from ..routing.domain_choice import RoundTrips
+from ..routing.domain_choice import TransferPrices
 from ..routing.load import ServerLoad
 from ..routing.request_shares import ShareCandidate
 from ..routing.request_shares import TokenBucket
@@ -32,6 +34,7 @@
     :param registry: the registered servers.
     :param request_limits: the limits that servers name.
     :param on_server_replaced: called with the address of a server that has restarted.
+    :param transfer_prices: prices of sending requests to other failure domains.
     """
 
     def __init__(
@@ -42,6 +45,7 @@
         registry: ServerRegistry,
         request_limits: RequestLimits,
         on_server_replaced: t.Callable[[str], None] = lambda address: None,
+        transfer_prices: TransferPrices | None = None,
     ) -> None:
         self._node_id = node_id
         self._failure_domain = failure_domain
@@ -63,6 +67,8 @@
         ]
         self._rng = random.Random()
         self._service_times = ServiceTimes()
+        self.round_trips = RoundTrips()
+        self.transfer_prices = transfer_prices or TransferPrices(price_s_per_mb=0.0)
         self._by_service: dict[str, Dispatcher] = {}
         # Called with a dispatcher when one of its requests has to wait for a server.
         self.on_queued: t.Callable[[Dispatcher], None] = lambda dispatcher: None
@@ -86,6 +92,7 @@
                 clock=time.monotonic,
                 rng=self._rng,
                 service_times=self._service_times,
+                round_trips=self.round_trips,
             )
             dispatcher.on_queued = self.on_queued
             dispatcher.path.on_doubt = lambda: self.on_path_doubt(dispatcher)
@@ -181,17 +188,26 @@
     def borrow_servers(self, dispatcher: Dispatcher, count: int) -> list[ServerLoad]:
         """Add servers outside of this node's subset for a while; return them.
 
+        Servers of this node's failure domain come first. The others are added only when all of
+        these are in use.
+
         :param count: the maximum number of servers to add.
         """
-        others = [
+        candidates = [
             registered
             for registered in self._registry.list_usable(dispatcher.service)
             if registered.server.server_id not in dispatcher.loads
             and self._get_request_bucket(registered) is None
         ]
+        local = [
+            registered
+            for registered in candidates
+            if registered.server.failure_domain == self._failure_domain
+        ]
+        candidates = local or candidates
         now = time.monotonic()
         borrowed = []
-        for registered in self._rng.sample(others, min(count, len(others))):
+        for registered in self._rng.sample(candidates, min(count, len(candidates))):
             load = self._create_load(registered, now)
             load.borrowed_until = now + BORROW_TIME_S
             dispatcher.loads[load.server_id] = load
@@ -239,6 +255,7 @@
     def retain_routes(self, route_names: set[str]) -> None:
         """Forget what was learned of routes that are not in the routing table any more."""
         self._service_times.retain_routes(route_names)
+        self.transfer_prices.retain_routes(route_names)
 
     def refresh_servers(self, services: t.Iterable[str]) -> None:
         """Update the dispatchers from the server registry.
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -20,6 +20,7 @@
 from ..requests.protocol import HeaderCodec
 from ..requests.protocol import ResponseHead
 from ..routing.caller_timeout import CallerTimeoutEstimator
+from ..routing.domain_choice import TransferPrices
 from ..routing.load import ServerLoad
 from ..routing.routes import CallerLimits
 from ..routing.routes import RouteIndex
@@ -56,6 +57,8 @@
     :param retry_limits: the limits on retries and hedges of each service, summed over all nodes.
     :param request_log: writes a line for each request, within its rate limit.
     :param caller_round_trip_s: network round trip between a caller and the node, in seconds.
+    :param transfer_price_s_per_mb: time that sending a megabyte to another failure domain must
+        save, in seconds.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         retry_limits: RetryBudgetSettings,
         request_log: RequestLog,
         caller_round_trip_s: float = 0.0,
+        transfer_price_s_per_mb: float = 0.0,
     ) -> None:
         self._caller_round_trip_s = caller_round_trip_s
         self._header_codec = header_codec
@@ -82,6 +86,7 @@
             registry=registry,
             request_limits=self.request_limits,
             on_server_replaced=lambda address: self.connections.discard(address),
+            transfer_prices=TransferPrices(price_s_per_mb=transfer_price_s_per_mb),
         )
         self.attempts = AttemptRunner(
             header_codec=header_codec,
--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -31,6 +31,9 @@
 MAX_PROBE_BODY_BYTES = 65_536
 # for the bodies of all probe responses that are being received
 MAX_PROBE_MEMORY_BYTES = 8 * 1024 * 1024
+# A request that no server in use suits borrows servers of its failure domain first, and then
+# servers elsewhere.
+MAX_BORROWINGS_PER_PLACEMENT = 2
 # interval between the probes for requests that wait for a server
 QUEUE_PROBE_INTERVAL_S = 0.02
 # A younger report is not refreshed.
@@ -88,12 +91,15 @@
         await self._probe_sample(dispatcher, request.excluded_server_ids)
         if not request.idempotent:
             await self._wait_for_sign_of_life(dispatcher, started_at)
-        if dispatcher.has_suitable_server(request):
-            return
-        borrowed = self._gateway.dispatchers.borrow_servers(
-            dispatcher, self._options.per_placement
-        )
-        await self._probe_all(dispatcher, borrowed)
+        for _ in range(MAX_BORROWINGS_PER_PLACEMENT):
+            if dispatcher.has_suitable_server(request):
+                return
+            borrowed = self._gateway.dispatchers.borrow_servers(
+                dispatcher, self._options.per_placement
+            )
+            if not borrowed:
+                return
+            await self._probe_all(dispatcher, borrowed)
 
     async def _wait_for_sign_of_life(self, dispatcher: Dispatcher, since: float) -> None:
         path = dispatcher.path
@@ -213,6 +219,9 @@
             exchange = await connection.receive_head(self._decode_probe_head)
             observed_at = time.monotonic()
             dispatcher.path.record_response()
+            self._gateway.dispatchers.round_trips.record(
+                load.failure_domain, observed_at - sent_at
+            )
             head = exchange.head
             _, complete = await connection.read_body(
                 exchange, MAX_PROBE_BODY_BYTES, self._response_memory
--- a/src/jasmineseam/operations/node_settings.py
+++ b/src/jasmineseam/operations/node_settings.py
@@ -149,6 +149,8 @@
     :param lifetime_s: how long a caller may cache a locator response, in seconds.
     :param caller_round_trip_s: network round-trip time between a caller and a node, in seconds;
         it is subtracted from a request's target latency.
+    :param transfer_price_ms_per_mb: time that sending a megabyte of requests and responses to
+        another failure domain must save, in milliseconds; 0 if only time counts.
     :param log_lines_per_s: maximum number of request log lines per second.
     :param metrics_port: port of the Prometheus metrics endpoint on the VM's address, 0 for none.
     :param fatal_invariants: whether a violated invariant raises an error, in addition to being
@@ -164,6 +166,7 @@
     probes: ProbeOptions = msgspec.field(default_factory=ProbeOptions)
     lifetime_s: Seconds = 1.0
     caller_round_trip_s: t.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.01
+    transfer_price_ms_per_mb: t.Annotated[float, msgspec.Meta(ge=0.0, le=1e6)] = 0.0
     log_lines_per_s: PositiveCount = 200
     metrics_port: t.Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
     fatal_invariants: bool = False
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -18,6 +18,9 @@
 
 from ..exceptions import NotRunError
 from ..exceptions import PathLostError
+from .domain_choice import RoundTrips
+from .domain_choice import choose_domain
+from .domain_choice import split_by_domain
 from .load import MAX_FRESH_REPORT_AGE_S
 from .load import ServerLoad
 from .placement import ServerEstimate
@@ -57,6 +60,7 @@
     :param deadline_at: time after which a response is useless, on the dispatcher's clock.
     :param excluded_server_ids: servers that already received an attempt of the request.
     :param idempotent: whether the request may be run more than once.
+    :param transfer_price_s: time that a server in another failure domain must save, in seconds.
     """
 
     priority: int
@@ -65,6 +69,7 @@
     deadline_at: float
     excluded_server_ids: set[str]
     idempotent: bool = True
+    transfer_price_s: float = 0.0
 
 
 class _QueuedRequest:
@@ -91,6 +96,7 @@
     :param clock: returns monotonic time in seconds.
     :param rng: breaks ties between servers.
     :param service_times: estimated service times, shared by the dispatchers of a node.
+    :param round_trips: round trips to the failure domains, shared by the dispatchers of a node.
     """
 
     def __init__(
@@ -101,6 +107,7 @@
         clock,
         rng: random.Random,
         service_times: ServiceTimes | None = None,
+        round_trips: RoundTrips | None = None,
     ) -> None:
         self.service = service
         self._failure_domain = failure_domain
@@ -110,6 +117,7 @@
         self.path = ServicePath(clock=clock)
         self.average_slowness = SlownessEwma()
         self._service_times = service_times or ServiceTimes()
+        self._round_trips = round_trips or RoundTrips()
         # number of nodes that send requests to the same servers, on average
         self.node_count = 1.0
         # called with this dispatcher when a request has to wait for a server
@@ -139,7 +147,7 @@
             feasible - self._feasible_fraction
         )
         if not self._has_feasible_queued_request(now, request.priority):
-            estimates = self._estimate_best_servers(request.excluded_server_ids, now)
+            estimates = self._estimate_best_servers(request, now)
             load = self._select_server(request, now, *estimates, contended=False)
             if load is not None:
                 load.take_token(now)
@@ -165,7 +173,8 @@
         """
         now = self._clock()
         unsuitable = {load.server_id for load in self.loads.values() if not is_connected(load)}
-        best_free, _ = self._estimate_best_servers(request.excluded_server_ids | unsuitable, now)
+        request = request._replace(excluded_server_ids=request.excluded_server_ids | unsuitable)
+        best_free, _ = self._estimate_best_servers(request, now)
         if best_free is None or not self.path.open_connections_respond:
             raise _build_path_lost_error()
         best_free.load.take_token(now)
@@ -177,7 +186,7 @@
         For a request that can't meet its target any more, any free slot is suitable.
         """
         now = self._clock()
-        best_free, _ = self._estimate_best_servers(request.excluded_server_ids, now)
+        best_free, _ = self._estimate_best_servers(request, now)
         if best_free is None:
             return False
         if not self._is_feasible(request, now):
@@ -186,18 +195,11 @@
             return False
         return now + best_free.latency_factor * request.service_time_s <= request.target_at
 
-    def choose_hedge_server(
-        self, excluded_server_ids: set[str], service_time_s: float, max_latency_s: float
-    ) -> ServerLoad | None:
-        """Return a server that is expected to respond fast enough, ``None`` if there is none.
-
-        :param excluded_server_ids: servers that must not be chosen.
-        :param service_time_s: expected service time on a host of normal speed, in seconds.
-        :param max_latency_s: longest acceptable latency, in seconds.
-        """
+    def choose_hedge_server(self, request: PlacementRequest) -> ServerLoad | None:
+        """Return a server that is expected to meet the target, ``None`` if there is none."""
         now = self._clock()
-        best, _ = self._estimate_best_servers(excluded_server_ids, now)
-        if best is None or best.latency_factor * service_time_s > max_latency_s:
+        best, _ = self._estimate_best_servers(request, now)
+        if best is None or now + best.latency_factor * request.service_time_s > request.target_at:
             return None
         return best.load
 
@@ -248,8 +250,9 @@
                 continue
             request = queued.request
             if request.excluded_server_ids or shared_estimates is None:
-                estimates = self._estimate_best_servers(request.excluded_server_ids, now)
-                shared_estimates = shared_estimates if request.excluded_server_ids else estimates
+                estimates = self._estimate_best_servers(request, now)
+                if not request.excluded_server_ids and not self._uses_other_domains():
+                    shared_estimates = estimates
             else:
                 estimates = shared_estimates
             try:
@@ -339,13 +342,53 @@
         duration_s = request.service_time_s * max(1.0, self.average_slowness.value)
         return available_at + duration_s <= request.target_at
 
+    def _uses_other_domains(self) -> bool:
+        """Return whether servers of other failure domains are used besides own ones."""
+        domains = {load.failure_domain for load in self.loads.values()}
+        return len(domains) > 1 and self._failure_domain in domains
+
     def _estimate_best_servers(
-        self, excluded_server_ids: set[str], now: float
+        self, request: PlacementRequest, now: float
     ) -> tuple[ServerEstimate | None, ServerEstimate | None]:
         """Return the best server with a free slot and the best server overall."""
-        loads = self.loads.values()
+        loads = list(self.loads.values())
+        excluded_server_ids = request.excluded_server_ids
         if excluded_server_ids:
             loads = [load for load in loads if load.server_id not in excluded_server_ids]
+        own, others = split_by_domain(loads, self._failure_domain)
+        if not own or not others:
+            return self._choose_servers(loads, now)
+        own_free, own_best = self._choose_servers(own, now)
+        other_free, other_best = self._choose_servers(others, now)
+
+        def choose(
+            own: ServerEstimate | None, other: ServerEstimate | None
+        ) -> ServerEstimate | None:
+            return choose_domain(
+                own,
+                None if other is None else self._add_round_trip(other, request),
+                service_time_s=request.service_time_s,
+                time_to_target_s=request.target_at - now,
+                price_s=request.transfer_price_s,
+            )
+
+        return choose(own_free, other_free), choose(own_best, other_best)
+
+    def _add_round_trip(
+        self, estimate: ServerEstimate, request: PlacementRequest
+    ) -> ServerEstimate:
+        """Add the longer network path to a server in another failure domain to its latency."""
+        extra_s = self._round_trips.get_extra_s(
+            estimate.load.failure_domain, own=self._failure_domain
+        )
+        if request.service_time_s <= 0.0:
+            return estimate
+        factor = estimate.latency_factor + extra_s / request.service_time_s
+        return estimate._replace(latency_factor=factor)
+
+    def _choose_servers(
+        self, loads: list[ServerLoad], now: float
+    ) -> tuple[ServerEstimate | None, ServerEstimate | None]:
         return choose_servers(
             loads,
             now=now,
