Authenticate requests by the keys of client accounts

With client accounts in the configuration, a request whose route is not public was forwarded without a check, and its key reached servers and other nodes.

The node now looks up the account where it finds the route, replaces the key by its digest and the account's name, and answers 401 without a valid key. Relays carry the name and the digest. The name is also a header of the relayed request, so nodes of the earlier build forward it; requests that such nodes relay are authenticated by the node that runs them. The name is part of the fingerprint. A request with several Authorization headers has no key.

--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -135,6 +135,7 @@
         )
         self.relay_server = RelayServer(
             run=self.gateway.attempts.run,
+            authenticate=self.gateway.authenticator.authenticate_relayed,
             is_leaving=lambda: self._leaving,
             record=self.gateway.record_relayed,
         )
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -29,6 +29,7 @@
 from ..transport.connection_pool import ConnectionPool
 from ..transport.request_body import read_body
 from .attempts import AttemptRunner
+from .authentication import Authenticator
 from .dispatchers import Dispatchers
 from .proxied_request import ProxiedRequest
 from .proxied_request import build_request_log_line
@@ -74,6 +75,9 @@
         self._request_log = request_log
         self.request_limits = RequestLimits(clock=time.monotonic)
         self._route_index: RouteIndex | None = None
+        self.authenticator = Authenticator(
+            header_codec=header_codec, get_index=lambda: self._route_index
+        )
         self._service_balancer = WeightedRoundRobin()
         self._timeout_estimators: dict[str, CallerTimeoutEstimator] = {}
         self.dispatchers = Dispatchers(
@@ -259,6 +263,7 @@
         if route is None:
             raise NotRunError("no-route", 404)
         proxied.route = route
+        self.authenticator.authenticate(proxied)
         remaining_s = proxied.head.remaining_s
         if remaining_s is None:
             remaining_s = DEFAULT_REQUEST_TIMEOUT_S
--- a/src/jasmineseam/node/proxied_request.py
+++ b/src/jasmineseam/node/proxied_request.py
@@ -32,7 +32,9 @@
     connection broke under the request. ``fingerprint`` is empty until it is computed.
     ``relayed`` is set if another node has received the request from its caller. ``counted`` is set
     when a node has counted the request for its retry budget. ``account`` is the client account
-    that holds the request's key, ``None`` if there is none.
+    that holds the request's key, ``None`` if there is none. ``key_hash`` is the digest of the key,
+    empty if there is none. ``authenticated`` is set if ``headers`` hold no key any more but name
+    the account.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         "arrived_at",
         "attempt_count",
         "attempt_trace",
+        "authenticated",
         "body",
         "counted",
         "crash_checks",
@@ -50,6 +53,7 @@
         "fingerprint",
         "head",
         "headers",
+        "key_hash",
         "method",
         "path",
         "reached_server_ids",
@@ -66,6 +70,8 @@
         self.target_at = self.deadline_at = self.arrived_at
         self.route: Route | None = None
         self.account: ClientAccount | None = None
+        self.key_hash = b""
+        self.authenticated = False
         self.dispatcher: Dispatcher | None = None
         self.head = RequestHead(request_id="", remaining_s=None)
         self.table_version = -1
@@ -85,7 +91,13 @@
     def get_fingerprint(self) -> bytes:
         """Return the fingerprint by which a repetition of the request is recognized."""
         if not self.fingerprint:
-            self.fingerprint = compute_fingerprint(self.method, self.path, self.headers, self.body)
+            self.fingerprint = compute_fingerprint(
+                self.method,
+                self.path,
+                self.headers,
+                self.body,
+                account="" if self.account is None else self.account.name,
+            )
         return self.fingerprint
 
 
@@ -113,6 +125,8 @@
         line.tried_before_ms = round(proxied.elapsed_before_arrival_s * 1000)
     if outcome.startswith("unknown:") or outcome.endswith(":quarantined"):
         line.fingerprint = proxied.get_fingerprint().hex()
+    if proxied.account is not None:
+        line.account = proxied.account.name
     if proxied.dispatcher is not None:
         line.service = proxied.dispatcher.service
     return line
--- a/src/jasmineseam/node/relays.py
+++ b/src/jasmineseam/node/relays.py
@@ -209,6 +209,8 @@
             elapsed_s=proxied.elapsed_before_arrival_s + now - proxied.arrived_at,
             counted=proxied.counted,
             excluded_server_ids=sorted(proxied.reached_server_ids),
+            account=_get_account_name(proxied),
+            key_hash=proxied.key_hash,
         )
 
     def _decode_reply(self, reply: RelayedResponse, proxied: ProxiedRequest) -> ServerResponse:
@@ -239,6 +241,9 @@
     """Runs requests of other nodes that can't reach the servers themselves.
 
     :param run: runs a request on the servers of a service, as for a caller of this node.
+    :param authenticate: called with a request, the name of its account (see
+        :class:`RelayedRequest`) and the digest of its key; raises :exc:`NotRunError` if the key is
+        not valid.
     :param is_leaving: returns whether this node takes no new requests.
     :param record: called with each request that has ended, its outcome, its status and the id of
         its relay.
@@ -248,10 +253,12 @@
         self,
         *,
         run: t.Callable[[ProxiedRequest, str], t.Awaitable[ServerResponse]],
+        authenticate: t.Callable[[ProxiedRequest, str | None, bytes], None],
         is_leaving: t.Callable[[], bool],
         record: t.Callable[[ProxiedRequest, str, int, str], None],
     ) -> None:
         self._run = run
+        self._authenticate = authenticate
         self._is_leaving = is_leaving
         self._record = record
         self._tasks: dict[str, asyncio.Task] = {}
@@ -282,6 +289,7 @@
         outcome = "cancelled"
         status = 0
         try:
+            self._authenticate(proxied, message.account, message.key_hash)
             response = await self._run(proxied, message.service)
             outcome = "answered"
             status = response.status
@@ -313,6 +321,12 @@
         return reply
 
 
+def _get_account_name(proxied: ProxiedRequest) -> str | None:
+    if not proxied.authenticated:
+        return None
+    return "" if proxied.account is None else proxied.account.name
+
+
 def _build_proxied_request(message: RelayedRequest) -> ProxiedRequest:
     proxied = ProxiedRequest()
     now = proxied.arrived_at
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -358,6 +358,10 @@
     :param elapsed_s: time since the caller's first attempt, in seconds.
     :param counted: whether the sender has counted the request for its retry budget.
     :param excluded_server_ids: servers that already received an attempt of the request.
+    :param account: name of the request's client account, empty for none; ``None`` if the sender
+        has not authenticated the request, as nodes of earlier builds do not.
+    :param key_hash: digest of the request's key, by which the receiver finds out that the key was
+        removed. The routing tables that nodes send each other contain the same digests.
     """
 
     relay_id: str
@@ -374,6 +378,8 @@
     elapsed_s: float
     counted: bool
     excluded_server_ids: list[str]
+    account: str | None = None
+    key_hash: bytes = b""
 
 
 class RelayedResponse(Message, tag="relayed-response"):
--- a/src/jasmineseam/platform/headers.py
+++ b/src/jasmineseam/platform/headers.py
@@ -5,6 +5,8 @@
 import re
 import typing as t
 
+from multidict import MultiMapping
+
 from ..measuring.load_reports import DetailedLoadReport
 from ..requests.protocol import HeaderCodec
 from ..requests.protocol import RequestHead
@@ -97,9 +99,13 @@
 def decode_key(headers: t.Mapping[str, str]) -> str | None:
     """Return the key of a client account from a request's headers, ``None`` if there is none.
 
+    A request with several such headers has no key, since it is ambiguous which one counts.
+
     >>> decode_key({"Authorization": "Bearer k1"}), decode_key({"Authorization": "Basic k1"})
     ('k1', None)
     """
+    if isinstance(headers, MultiMapping) and len(headers.getall(KEY_HEADER, ())) > 1:
+        return None
     scheme, _, key = headers.get(KEY_HEADER, "").strip().partition(" ")
     if scheme.lower() != KEY_SCHEME:
         return None
--- a/src/jasmineseam/requests/fingerprint.py
+++ b/src/jasmineseam/requests/fingerprint.py
@@ -15,12 +15,13 @@
 
 
 def compute_fingerprint(
-    method: str, path: str, headers: t.Mapping[str, str], body: bytes
+    method: str, path: str, headers: t.Mapping[str, str], body: bytes, *, account: str = ""
 ) -> bytes:
     """Return 16 bytes that are equal for requests of one caller with the same content.
 
     :param path: path and query.
     :param headers: host and credentials are used.
+    :param account: name of the client account, empty for none.
 
     >>> first = compute_fingerprint("GET", "/a", {"Host": "h"}, b"")
     >>> first == compute_fingerprint("GET", "/a", {"Host": "h", "Accept": "*/*"}, b"")
@@ -34,5 +35,9 @@
         encoded = text.encode(errors="surrogateescape")
         digest.update(len(encoded).to_bytes(4, "big"))
         digest.update(encoded)
+    if account:
+        digest.update(b"account")
+        digest.update(account.encode(errors="surrogateescape"))
+        digest.update(b"\0")
     digest.update(body)
     return digest.digest()
--- a/src/jasmineseam/routing/routes.py
+++ b/src/jasmineseam/routing/routes.py
@@ -144,7 +144,11 @@
 
     def find_account(self, key: str) -> ClientAccount | None:
         """Return the client account that holds a key, ``None`` if there is none."""
-        return self._account_by_key_hash.get(hash_key(key))
+        return self.find_account_by_hash(hash_key(key))
+
+    def find_account_by_hash(self, key_hash: bytes) -> ClientAccount | None:
+        """Return the client account that holds a key with this digest, ``None`` if none does."""
+        return self._account_by_key_hash.get(key_hash)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, ``None`` if no route matches.
--- a/standins/configuration.py
+++ b/standins/configuration.py
@@ -40,9 +40,10 @@
     routes: list[dict[str, t.Any]],
     services: t.Iterable[str] = ("fit", "other"),
     limits: dict[str, t.Any] = DEFAULT_LIMITS,
+    tenants: t.Sequence[dict[str, t.Any]] = (),
 ) -> dict[str, t.Any]:
     """Return the JSON document of a routing configuration."""
-    return {
+    document = {
         "version": f"{version:08x}",
         "routes": routes,
         "services": [
@@ -50,3 +51,6 @@
         ],
         "limits": limits,
     }
+    if tenants:
+        document["tenants"] = list(tenants)
+    return document
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -55,9 +55,12 @@
 
 
 @contextlib.asynccontextmanager
-async def start_nodes(deployment, *, count=2, cut_count=1):
-    """Start nodes; yield those whose paths can be cut, and the others."""
-    deployment.write_configuration()
+async def start_nodes(deployment, *, count=2, cut_count=1, **configuration):
+    """Start nodes; yield those whose paths can be cut, and the others.
+
+    :param configuration: fields of the routing configuration.
+    """
+    deployment.write_configuration(**configuration)
     for number in range(INSTANCE_COUNT):
         await deployment.add_instance(f"i-{number}")
     nodes = [await deployment.add_node(f"vm-{number}") for number in range(count)]
@@ -89,11 +92,14 @@
                 proxy.stop()
 
 
-async def lose_path(deployment, cut, **modes):
-    """Cut a node off, and wait until it relays."""
+async def lose_path(deployment, cut, headers=(), **modes):
+    """Cut a node off, and wait until it relays.
+
+    :param headers: headers of the requests that notice the cut.
+    """
     await cut.cut(**modes)
     while not cut.has_lost_path():
-        await deployment.send_request(cut.node, "/safe/1")
+        await deployment.send_request(cut.node, "/safe/1", **dict(headers))
 
 
 @pytest.mark.parametrize("modes", CUT_MODES)
