Refuse requests whose key a newer routing table removes, and don't trust an old table

A request was authenticated only when it arrived, so it outlived its key in a queue or at a node that runs it for another one. An unknown key got 401 also from a node with an old configuration.

The digest of the key is looked up again before each attempt, hedge and relay if a newer table was applied since. Digests between nodes carry the age of the last confirmed read of the routing table in a new last field. While a node's table is not confirmed, an unknown key gets 503, and with fail-closed every request that needs a key does. Dump and metrics count the refusals.

--- a/src/jasmineseam/fleet/state_sync.py
+++ b/src/jasmineseam/fleet/state_sync.py
@@ -30,6 +30,7 @@
 from ..routing.quarantine import CrashQuarantine
 from ..routing.quarantine import CrashReport
 from ..routing.routes import RoutingTable
+from .table_confirmation import TableConfirmation
 
 REQUEST_TIMEOUT_S = 0.5
 # News of the server list that arrives out of order is complete within this time.
@@ -133,6 +134,7 @@
         self._peer_clients = peer_clients
         self._get_table = get_table
         self._apply_table = apply_table
+        self.table_confirmation = TableConfirmation(clock=time.monotonic)
         self.change_log = ServerChangeLog()
         # nodes with newer state, and their digests
         self._sources: dict[str, tuple[NodeInfo, StateDigest]] = {}
@@ -152,10 +154,12 @@
             servers_position=registry.position,
             servers_age_ms=age_ms if registry.loaded else -1,
             notices_hash=self._compute_notices_hash(),
+            table_age_ms=self.table_confirmation.get_age_ms(),
         )
 
     def handle_digest(self, sender: NodeInfo, digest: StateDigest) -> None:
         """Confirm the own state by the digest of another node, or request what is newer."""
+        self.table_confirmation.record_digest(digest, self._get_table_version())
         registry = self._registry
         position = digest.servers_position
         if (
--- a/src/jasmineseam/fleet/store_watcher.py
+++ b/src/jasmineseam/fleet/store_watcher.py
@@ -82,6 +82,9 @@
     :param add_contact: called with the address of each node in the store.
     :param own_record: the record of this node.
     :param first_start: whether the whole system starts for the first time.
+    :param confirm_routing_table: called after each read of the routing table with the time since
+        the read began, in seconds; also if the store holds an invalid table, since the valid one
+        before it stays in force then.
     """
 
     def __init__(
@@ -97,6 +100,7 @@
         add_contact: t.Callable[[str], None],
         own_record: NodeRecord,
         first_start: bool = False,
+        confirm_routing_table: t.Callable[[float], None] = lambda age_s: None,
     ) -> None:
         self._store = store
         self._registry = registry
@@ -107,6 +111,7 @@
         self._set_reachable = set_reachable
         self._add_contact = add_contact
         self._own_record = own_record
+        self._confirm_routing_table = confirm_routing_table
         self._first_read_delay_s = (
             FIRST_START_READ_DELAY_S if first_start else RESTART_READ_DELAY_S
         )
@@ -136,6 +141,7 @@
                 position = None
                 await asyncio.sleep(self._compute_role_check_s())
                 continue
+            started_at = time.monotonic()
             try:
                 if position is None:
                     read = await self._store.read_routing_table()
@@ -149,6 +155,7 @@
                     "delay: {}",
                     error,
                 )
+                self._confirm_routing_table(time.monotonic() - started_at)
                 position = None
                 await asyncio.sleep(backoff.record_failure())
                 continue
@@ -169,6 +176,7 @@
             self._record_timeline(position.timeline)
             self._routing_table_read_at = time.monotonic()
             self._apply_routing_table(read)
+            self._confirm_routing_table(self._routing_table_read_at - started_at)
             if read.table is None and position.offset == 0:
                 # The store holds no routing table yet and may reject a long poll at position 0.
                 await asyncio.sleep(INITIAL_BACKOFF_S)
@@ -367,10 +375,15 @@
         now = time.monotonic()
         if now - self._routing_table_read_at < ROUTING_TABLE_CHECK_INTERVAL_S:
             return
-        read = await self._store.read_routing_table()
+        try:
+            read = await self._store.read_routing_table()
+        except InvalidRecordError:
+            self._confirm_routing_table(time.monotonic() - now)
+            raise
         self._record_timeline(read.position.timeline)
         self._routing_table_read_at = now
         self._apply_routing_table(read)
+        self._confirm_routing_table(time.monotonic() - now)
 
     def _apply_routing_table(self, read: RoutingTableRead) -> None:
         if read.table is not None:
--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -52,6 +52,7 @@
 # MIN_LATENCY_TARGET_S.
 MIN_LATENCY_TARGET_SERVICE_TIME_FACTOR = 1.5
 MIN_LATENCY_TARGET_S = 0.15
+UNAUTHORIZED_STATUS = 401
 
 
 class AttemptRunner:
@@ -94,6 +95,8 @@
         self.refresh_loads: t.Callable[[Dispatcher, PlacementRequest], t.Awaitable[None]] = (
             _keep_loads
         )
+        # Raises NotRunError if the key of a request is not valid any more.
+        self.check_account: t.Callable[[ProxiedRequest], None] = _accept_account
         # Runs a request through another node.
         self.relay: t.Callable[..., t.Awaitable[ServerResponse]] = _find_no_relay
         # If it is in doubt whether this node reaches a service, waits until that is known, and
@@ -158,6 +161,7 @@
             ):
                 break
             try:
+                self.check_account(proxied)
                 if may_relay and not proxied.dispatcher.path.draw_direct(self._rng):
                     self._check_quarantine(proxied, relayed=True)
                     try:
@@ -171,6 +175,8 @@
                     is_trial = True
                     max_attempts = 1
                 load = await self._place_attempt(proxied)
+                # The request's key may have been removed while it waited for a server.
+                self.check_account(proxied)
                 if not is_trial:
                     # The request may have been quarantined while it waited for a server.
                     self._check_quarantine(proxied)
@@ -181,7 +187,10 @@
                     proxied.dispatcher
                 ):
                     continue
-                if last_result is None:
+                if last_result is None or (
+                    error.status == UNAUTHORIZED_STATUS
+                    and isinstance(last_result, AttemptNotRunError)
+                ):
                     raise
                 proxied.attempt_trace.append(error.reason)
                 break
@@ -233,6 +242,12 @@
             raise NotRunError("quarantined", 503, admission.retry_after_s)
         return admission
 
+    def _check_account_of_hedge(self, proxied: ProxiedRequest) -> None:
+        try:
+            self.check_account(proxied)
+        except NotRunError as error:
+            raise AttemptNotRunError("no-hedge") from error
+
     def _has_time_for_attempt(self, proxied: ProxiedRequest) -> bool:
         """Return whether another attempt could finish before the deadline."""
         return (
@@ -289,6 +304,7 @@
             return send_probed_hedge()
 
         async def send_relayed_hedge() -> ServerResponse:
+            self._check_account_of_hedge(proxied)
             if not budget.take_attempt():
                 raise AttemptNotRunError("no-hedge")
             try:
@@ -304,6 +320,7 @@
             hedge_server = dispatcher.choose_hedge_server(
                 proxied.excluded_server_ids, proxied.service_time_s, time_to_target_s
             )
+            self._check_account_of_hedge(proxied)
             if self.crash_detector.is_suspected(proxied):
                 raise AttemptNotRunError("no-hedge")
             if hedge_server is None or not budget.take_attempt(HEDGE_RESERVED_BUDGET_FRACTION):
@@ -333,6 +350,10 @@
         return budget
 
 
+def _accept_account(proxied: ProxiedRequest) -> None:
+    """Accept every request."""
+
+
 async def _find_no_relay(proxied: ProxiedRequest, *, hedge: bool = False) -> ServerResponse:
     raise NoRelayError
 
--- a/src/jasmineseam/node/authentication.py
+++ b/src/jasmineseam/node/authentication.py
@@ -8,11 +8,14 @@
 from __future__ import annotations
 
 import collections
+import time
 import typing as t
 
+import logbook
 from multidict import CIMultiDict
 
 from ..exceptions import NotRunError
+from ..fleet.table_confirmation import TableConfirmation
 from ..requests.headers import strip_hop_by_hop_headers
 from ..requests.protocol import HeaderCodec
 from ..routing.routes import ClientAccount
@@ -22,6 +25,14 @@
 
 REASON_NO_KEY = "no-key"
 REASON_UNKNOWN_KEY = "unknown-key"
+# An unknown key may be one that only a newer routing table holds.
+REASON_OUTDATED = "configuration-outdated"
+REASON_UNCONFIRMED = "configuration-unconfirmed"
+# Retry-After time if this node can't confirm its routing table. A read of the store, or the next
+# message of another node, usually confirms it within this time.
+UNCONFIRMED_RETRY_AFTER_S = 1.0
+LOG_INTERVAL_S = 10.0
+_logger = logbook.Logger("accounts")
 
 
 class Authenticator:
@@ -34,16 +45,42 @@
         table.
     """
 
-    __slots__ = ("_get_index", "_header_codec", "refusal_counts")
+    __slots__ = (
+        "_confirmation",
+        "_fail_closed",
+        "_get_index",
+        "_header_codec",
+        "_logged_at",
+        "_max_age_s",
+        "refusal_counts",
+    )
 
     def __init__(
         self, *, header_codec: HeaderCodec, get_index: t.Callable[[], RouteIndex | None]
     ) -> None:
         self._header_codec = header_codec
         self._get_index = get_index
+        self._confirmation: TableConfirmation | None = None
+        self._fail_closed = False
+        self._max_age_s = 0.0
+        # time of the last log line for each reason
+        self._logged_at: dict[str, float] = {}
         # refused requests, by reason
         self.refusal_counts: collections.Counter[str] = collections.Counter()
 
+    def set_freshness(
+        self, confirmation: TableConfirmation, *, fail_closed: bool, max_age_s: float
+    ) -> None:
+        """Set how this node knows that its routing table is current.
+
+        :param fail_closed: whether requests that need a key are refused if the table was not
+            confirmed for *max_age_s*.
+        :param max_age_s: 0 for as long as the table counts as current, in seconds.
+        """
+        self._confirmation = confirmation
+        self._fail_closed = fail_closed
+        self._max_age_s = max_age_s
+
     def authenticate(self, proxied: ProxiedRequest) -> None:
         """Find the account of a request, and remove the key from its headers.
 
@@ -52,12 +89,18 @@
         index = self._get_index()
         if index is None or not index.requires_keys:
             return
+        relayed_by_newer = proxied.table_version > index.table.version
         key = self._header_codec.decode_key(proxied.headers)
         proxied.key_hash = b"" if key is None else hash_key(key)
         proxied.authenticated = True
         self._set_account(proxied, index.find_account_by_hash(proxied.key_hash))
-        if proxied.account is None and not proxied.route.public:
-            self._refuse(REASON_NO_KEY if key is None else REASON_UNKNOWN_KEY)
+        if proxied.route.public:
+            return
+        if key is None:
+            self._refuse(proxied, REASON_NO_KEY)
+        self._check_freshness(proxied)
+        if proxied.account is None:
+            self._refuse_unknown_key(proxied, outdated=relayed_by_newer)
 
     def authenticate_relayed(
         self, proxied: ProxiedRequest, account_name: str | None, key_hash: bytes
@@ -91,22 +134,42 @@
 
         Called before each time at which the request may be sent.
 
-        :raises NotRunError: if the route needs a key and the newer table does not hold it.
+        :raises NotRunError: if the route needs a key and the newer table does not hold it, or this
+            node refuses all such requests because its table is not confirmed.
         """
+        if proxied.account is not None and not proxied.route.public:
+            self._check_freshness(proxied)
         index = self._get_index()
         if index is None or index.table.version <= proxied.table_version:
             return
-        proxied.table_version = index.table.version
-        if not index.requires_keys:
-            return
-        if not proxied.authenticated:
+        if index.requires_keys and not proxied.authenticated:
             # The request arrived before the first routing table that holds accounts.
             self.authenticate(proxied)
+        elif index.requires_keys:
+            account = index.find_account_by_hash(proxied.key_hash)
+            if account is None and not proxied.route.public:
+                self._refuse_unknown_key(proxied)
+            self._set_account(proxied, account)
+        proxied.table_version = index.table.version
+
+    def _check_freshness(self, proxied: ProxiedRequest) -> None:
+        if not self._fail_closed:
             return
-        account = index.find_account_by_hash(proxied.key_hash)
-        if account is None and not proxied.route.public:
-            self._refuse(REASON_UNKNOWN_KEY)
-        self._set_account(proxied, account)
+        confirmation = self._confirmation
+        if self._max_age_s > 0.0:
+            confirmed = confirmation.get_age_s() <= self._max_age_s
+        else:
+            confirmed = confirmation.is_current()
+        if not confirmed:
+            self._refuse(proxied, REASON_UNCONFIRMED)
+
+    def _refuse_unknown_key(
+        self, proxied: ProxiedRequest, *, outdated: bool = False
+    ) -> t.NoReturn:
+        confirmation = self._confirmation
+        if confirmation is not None and not confirmation.is_current():
+            outdated = True
+        self._refuse(proxied, REASON_OUTDATED if outdated else REASON_UNKNOWN_KEY)
 
     def _set_account(self, proxied: ProxiedRequest, account: ClientAccount | None) -> None:
         proxied.account = account
@@ -120,6 +183,21 @@
             headers.extend(self._header_codec.encode_account(account.name))
         proxied.headers = headers
 
-    def _refuse(self, reason: str) -> t.NoReturn:
+    def _refuse(self, proxied: ProxiedRequest, reason: str) -> t.NoReturn:
         self.refusal_counts[reason] += 1
-        raise NotRunError(reason, 401)
+        if reason in (REASON_NO_KEY, REASON_UNKNOWN_KEY):
+            raise NotRunError(reason, 401)
+        now = time.monotonic()
+        age_s = float("inf") if self._confirmation is None else self._confirmation.get_age_s()
+        if now - self._logged_at.get(reason, float("-inf")) >= LOG_INTERVAL_S:
+            self._logged_at[reason] = now
+            _logger.warning(
+                "Refusing request {} with 503 ({}): routing table {:08x} was not confirmed for "
+                "{:.1f} s; {} requests refused so far.",
+                proxied.head.request_id,
+                reason,
+                self._get_index().table.version,
+                age_s,
+                self.refusal_counts[reason],
+            )
+        raise NotRunError(reason, 503, UNCONFIRMED_RETRY_AFTER_S)
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import math
 import random
 import time
 import typing as t
@@ -180,6 +181,11 @@
             rng=random.Random(),
         )
         self._notices.fleet = self.fleet
+        confirmation = self.state_sync.table_confirmation
+        confirmation.get_node_count = self.fleet.membership.count
+        self.gateway.authenticator.set_freshness(
+            confirmation, fail_closed=settings.fail_closed, max_age_s=settings.key_revocation_s
+        )
 
     @property
     def ready(self) -> bool:
@@ -206,6 +212,7 @@
                 vm_id=self.settings.vm.id, peer_address=self.settings.listeners.notices
             ),
             first_start=self.settings.first_start,
+            confirm_routing_table=self.state_sync.table_confirmation.confirm,
         )
         self.prober = LoadProber(
             gateway=self.gateway,
@@ -265,6 +272,11 @@
         )
         self.gateway.attempts.set_retry_limits(settings.retries)
         self.prober.max_probes_per_s = settings.probes_per_s
+        self.gateway.authenticator.set_freshness(
+            self.state_sync.table_confirmation,
+            fail_closed=settings.fail_closed,
+            max_age_s=settings.key_revocation_s,
+        )
         for address in settings.seed_peers:
             self.fleet.add_contact(address)
         self.logger.info("Settings reloaded.")
@@ -318,6 +330,9 @@
             "ready": self.ready,
             "leaving": self._leaving,
             "table_version": -1 if table is None else table.version,
+            "table_age_s": _round_age(self.state_sync.table_confirmation.get_age_s()),
+            "client_accounts": 0 if table is None else len(table.accounts),
+            "refused_keys": dict(self.gateway.authenticator.refusal_counts),
             "servers": self.registry.count_usable(),
             "servers_age_s": round(self.registry.get_list_age_s(), 3),
             "in_flight": self.gateway.in_flight,
@@ -370,6 +385,7 @@
     def _apply_routing_table(self, table: RoutingTable, source: str) -> bool:
         applied = self.gateway.apply_routing_table(table)
         if applied:
+            self.state_sync.table_confirmation.record_table()
             self.logger.info(
                 "Applied routing table version {:08x} with {} routes from {}.",
                 table.version,
@@ -461,3 +477,8 @@
 
     def _get_entries_ttl_s(self) -> float:
         return min(self.options.lifetime_s, self.settings.longest_lifetime_s)
+
+
+def _round_age(age_s: float) -> float | None:
+    """Return an age for a state dump, ``None`` if there is none."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -94,6 +94,7 @@
             retry_limits=retry_limits,
             record_server_state=self.record_server_state,
         )
+        self.attempts.check_account = self.authenticator.check
         # Called with a server's id and the Unix time of its start in milliseconds if a response
         # reports that the server is leaving.
         self.on_server_leaving: t.Callable[[str, int], None] = lambda server_id, started_ms: None
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -90,6 +90,10 @@
     def read_crashes():
         return [(gateway.attempts.quarantine.crash_count, {})]
 
+    def read_refused_keys():
+        counts = gateway.authenticator.refusal_counts
+        return [(count, {"reason": reason}) for reason, count in counts.items()]
+
     gateway.record_duration = add_histogram(
         provider, "request.duration", "s", "Time to the answer.", REQUEST_DURATION_BUCKET_BOUNDS_S
     )
@@ -117,4 +121,7 @@
     add_gauge(provider, "paths.lost", "1", "Services out of reach.", read_lost_paths)
     add_counter(provider, "relays", "1", "Through other nodes, by outcome.", read_relays)
     add_counter(provider, "paths.losses", "1", "Of paths to services.", read_path_losses)
+    add_counter(
+        provider, "accounts.refused", "1", "Requests without a valid key.", read_refused_keys
+    )
     add_gauge(provider, "servers.age", "s", "Age of the list of servers.", read_server_list_age)
--- a/src/jasmineseam/node/relays.py
+++ b/src/jasmineseam/node/relays.py
@@ -34,6 +34,8 @@
 from ..routing.dispatch import PATH_LOST_RETRY_AFTER_S
 from ..routing.dispatch import REASON_NO_PATH
 from ..routing.dispatch import REASON_NO_SERVER
+from .authentication import REASON_OUTDATED
+from .authentication import REASON_UNCONFIRMED
 from .proxied_request import ProxiedRequest
 
 # number of nodes to which a request is offered
@@ -49,7 +51,16 @@
 MAX_RELAYED_BODY_BYTES = 32 * 1024 * 1024
 REASON_LEAVING = "leaving"
 # reasons for which a relaying node has not run a request that another node may be able to run
-_UNABLE_REASONS = frozenset({REASON_NO_PATH, REASON_NO_SERVER, REASON_LEAVING, "connect"})
+_UNABLE_REASONS = frozenset(
+    {
+        REASON_NO_PATH,
+        REASON_NO_SERVER,
+        REASON_LEAVING,
+        REASON_OUTDATED,
+        REASON_UNCONFIRMED,
+        "connect",
+    }
+)
 _logger = logbook.Logger("relays")
 
 
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -219,6 +219,8 @@
         milliseconds; -1 if the node has no list.
     :param notices_hash: hash over the listed servers that have reported their departure, the
         limits that servers name and the crashes of servers under requests.
+    :param table_age_ms: time since a read of the store confirmed that there is no newer routing
+        table, in milliseconds; the largest value if none did, -1 from nodes of earlier builds.
     """
 
     nodes_hash: int
@@ -226,6 +228,7 @@
     servers_position: StorePosition
     servers_age_ms: t.Annotated[int, msgspec.Meta(ge=-1, le=2**31)]
     notices_hash: int = 0
+    table_age_ms: t.Annotated[int, msgspec.Meta(ge=-1, le=2**31)] = -1
 
 
 class FleetMessage(Message):
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -37,8 +37,8 @@
     return headers
 
 
-async def start_node(deployment, *, tenants=TENANTS, **settings):
-    deployment.write_configuration(routes=ROUTES, tenants=tenants)
+async def start_node(deployment, *, tenants=TENANTS, routes=ROUTES, **settings):
+    deployment.write_configuration(routes=routes, tenants=tenants)
     await deployment.add_instance("i-1")
     return await deployment.add_node("vm-1", **settings)
 
