Check more often which node has to read the routing table

If the store left the calls of both readers unanswered, another node noticed that it has to read the routing table only at its next check of its role, up to 0.5 s later; with the timeout of 1.5 s while the store is slow, a table could come into force later than 2.5 s after it was written. A long poll that ends without a table confirms the table as of its end.

--- a/src/jasmineseam/fleet/store_watcher.py
+++ b/src/jasmineseam/fleet/store_watcher.py
@@ -54,6 +54,10 @@
 FIRST_START_READ_DELAY_S = 2.0
 RESTART_READ_DELAY_S = 0.1
 MAX_WAIT_S = 0.5
+# Interval at which a node checks whether it has to read the routing table. If the store leaves all
+# calls of both readers unanswered, they find out after READ_INTERVAL_S and a timeout of 0.7 s, or
+# 1.5 s while the store is slow; a new table must be in force 2.5 s after it was written.
+ROUTING_TABLE_ROLE_CHECK_S = 0.1
 # changes in one notice, so that it fits into a datagram
 MAX_CHANGES_PER_NOTICE = 4
 # number of nodes whose addresses are in the store, for nodes that know no other node
@@ -139,7 +143,7 @@
         while True:
             if not self.is_reader():
                 position = None
-                await asyncio.sleep(self._compute_role_check_s())
+                await asyncio.sleep(min(ROUTING_TABLE_ROLE_CHECK_S, self._compute_role_check_s()))
                 continue
             started_at = time.monotonic()
             try:
@@ -176,7 +180,11 @@
             self._record_timeline(position.timeline)
             self._routing_table_read_at = time.monotonic()
             self._apply_routing_table(read)
-            self._confirm_routing_table(self._routing_table_read_at - started_at)
+            age_s = self._routing_table_read_at - started_at
+            if read.table is None and age_s >= ROUTING_TABLE_POLL_TIMEOUT_S:
+                # The store has answered at the end of the poll.
+                age_s -= ROUTING_TABLE_POLL_TIMEOUT_S
+            self._confirm_routing_table(age_s)
             if read.table is None and position.offset == 0:
                 # The store holds no routing table yet and may reject a long poll at position 0.
                 await asyncio.sleep(INITIAL_BACKOFF_S)
