Don't lose client accounts by way of nodes of an earlier build

A node that states no age of its table in its digests counts as one of an earlier build. Its table is used only by a node that has none; that node marks it as provisional, offers it to nobody, and replaces it by a complete one of the same version. A node that sees a newer version only at such nodes reads the table from the store itself, so in a fleet of both builds a new table may cause one read of the store per node of this build.

--- a/src/jasmineseam/fleet/state_sync.py
+++ b/src/jasmineseam/fleet/state_sync.py
@@ -31,6 +31,7 @@
 from ..routing.quarantine import CrashReport
 from ..routing.routes import RoutingTable
 from .table_confirmation import TableConfirmation
+from .table_confirmation import sends_complete_tables
 
 REQUEST_TIMEOUT_S = 0.5
 # News of the server list that arrives out of order is complete within this time.
@@ -109,7 +110,8 @@
     :param quarantine: the requests that ran on servers that crashed.
     :param peer_clients: connections for requests to other nodes.
     :param get_table: returns the routing table of this node, ``None`` if it has none.
-    :param apply_table: applies a routing table from the node with the given VM id.
+    :param apply_table: applies a routing table from the node with the given VM id, which may be
+        provisional, see :class:`.TableConfirmation`.
     :param add_request_limits: applies limits that servers name.
     :param add_crashes: applies reports of crashes.
     """
@@ -122,7 +124,7 @@
         quarantine: CrashQuarantine,
         peer_clients: PeerClients,
         get_table: t.Callable[[], RoutingTable | None],
-        apply_table: t.Callable[[RoutingTable, str], bool],
+        apply_table: t.Callable[..., bool],
         add_request_limits: t.Callable[[list[RequestLimit]], t.Any],
         add_crashes: t.Callable[[list[CrashReport]], t.Any],
     ) -> None:
@@ -220,7 +222,7 @@
         return self._compressed_table[1]
 
     def _is_newer(self, digest: StateDigest) -> bool:
-        if digest.table_version > self._get_table_version():
+        if self._needs_table_of(digest):
             return True
         registry = self._registry
         if digest.servers_age_ms < 0:
@@ -234,6 +236,27 @@
             and time.monotonic() - self._notices_requested_at > NOTICES_REQUEST_INTERVAL_S
         )
 
+    def _needs_table_of(self, digest: StateDigest) -> bool:
+        """Return whether to request another node's routing table.
+
+        A node of an earlier build leaves out fields that it does not know. Its table is used only
+        by a node that has none. Otherwise this node waits for a complete one and reads the store.
+        """
+        own_version = self._get_table_version()
+        if sends_complete_tables(digest):
+            provisional = self.table_confirmation.provisional
+            return digest.table_version > own_version - int(provisional)
+        if digest.table_version > own_version >= 0:
+            self.table_confirmation.wanted_version = digest.table_version
+            return False
+        return digest.table_version > own_version
+
+    def _apply_received_table(self, data: bytes, source: NodeInfo, digest: StateDigest) -> None:
+        complete = sends_complete_tables(digest)
+        if not complete and self._get_table() is not None:
+            return
+        self._apply_table(decompress_table(data), source.vm_id, provisional=not complete)
+
     def _compute_notices_hash(self) -> int:
         """Return a hash over what nodes observe of servers and send each other."""
         return (
@@ -251,23 +274,26 @@
             if not self._is_newer(digest):
                 continue
             try:
-                await self._request_from(source)
+                await self._request_from(source, digest)
             except (PeerError, InvalidMessageError) as error:
                 _logger.warning("No newer state from node {}; retrying: {}", vm_id, error)
                 await asyncio.sleep(RETRY_DELAY_S)
 
-    async def _request_from(self, source: NodeInfo) -> None:
+    async def _request_from(self, source: NodeInfo, digest: StateDigest) -> None:
         self.request_count += 1
         self._notices_requested_at = time.monotonic()
         address = source.peer_address
+        # A provisional table is replaced by a complete one of the same version.
+        provisional = self.table_confirmation.provisional
         request = StateRequest(
-            table_version=self._get_table_version(), servers_position=self._registry.position
+            table_version=self._get_table_version() - int(provisional),
+            servers_position=self._registry.position,
         )
         reply = await self._peer_clients.get(address).request(request, REQUEST_TIMEOUT_S)
         if not isinstance(reply, StateReply):
             raise InvalidMessageError(f"unexpected reply {type(reply).__name__}")
         if reply.table:
-            self._apply_table(decompress_table(reply.table), source.vm_id)
+            self._apply_received_table(reply.table, source, digest)
         for departure in reply.departures:
             self._registry.add_departure(departure)
         if reply.listings is not None:
--- a/src/jasmineseam/fleet/store_watcher.py
+++ b/src/jasmineseam/fleet/store_watcher.py
@@ -89,6 +89,8 @@
     :param confirm_routing_table: called after each read of the routing table with the time since
         the read began, in seconds; also if the store holds an invalid table, since the valid one
         before it stays in force then.
+    :param needs_routing_table: returns whether this node has to read the routing table although it
+        does not read the store on behalf of the others.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         own_record: NodeRecord,
         first_start: bool = False,
         confirm_routing_table: t.Callable[[float], None] = lambda age_s: None,
+        needs_routing_table: t.Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._registry = registry
@@ -116,6 +119,7 @@
         self._add_contact = add_contact
         self._own_record = own_record
         self._confirm_routing_table = confirm_routing_table
+        self._needs_routing_table = needs_routing_table
         self._first_read_delay_s = (
             FIRST_START_READ_DELAY_S if first_start else RESTART_READ_DELAY_S
         )
@@ -141,7 +145,7 @@
         backoff = Backoff()
         position = None
         while True:
-            if not self.is_reader():
+            if not (self.is_reader() or self._needs_routing_table()):
                 position = None
                 await asyncio.sleep(min(ROUTING_TABLE_ROLE_CHECK_S, self._compute_role_check_s()))
                 continue
--- a/src/jasmineseam/fleet/table_confirmation.py
+++ b/src/jasmineseam/fleet/table_confirmation.py
@@ -40,7 +40,14 @@
     (True, 1.5)
     """
 
-    __slots__ = ("_clock", "_confirmed_at", "_newer_seen_at", "get_node_count")
+    __slots__ = (
+        "_clock",
+        "_confirmed_at",
+        "_newer_seen_at",
+        "get_node_count",
+        "provisional",
+        "wanted_version",
+    )
 
     def __init__(
         self, *, clock: t.Callable[[], float], get_node_count: t.Callable[[], int] = lambda: 1
@@ -49,6 +56,12 @@
         self._confirmed_at = float("-inf")
         self._newer_seen_at = float("-inf")
         self.get_node_count = get_node_count
+        # Whether the table comes from a node of an earlier build, which leaves out the fields that
+        # it does not know, such as the client accounts.
+        self.provisional = False
+        # Newest version that only nodes of an earlier build are known to have, -1 for none. This
+        # node reads it from the store.
+        self.wanted_version = -1
 
     def confirm(self, age_s: float) -> None:
         """Record that the table was the newest one some time ago.
@@ -57,9 +70,18 @@
         """
         self._confirmed_at = max(self._confirmed_at, self._clock() - age_s)
 
-    def record_table(self) -> None:
-        """Record that this node has applied a newer table."""
+    def record_table(self, version: int, *, provisional: bool = False) -> None:
+        """Record that this node has applied a newer table, or a complete one."""
         self._newer_seen_at = float("-inf")
+        self.provisional = provisional
+        if provisional:
+            self.wanted_version = version
+        elif version >= self.wanted_version:
+            self.wanted_version = -1
+
+    def needs_read(self) -> bool:
+        """Return whether this node has to read the table from the store by itself."""
+        return self.wanted_version >= 0
 
     def record_digest(self, digest: StateDigest, own_version: int) -> None:
         """Take over the confirmation of another node, unless it knows a newer table.
@@ -71,7 +93,7 @@
             return
         if digest.table_version < 0:
             return
-        if digest.table_age_ms >= 0:
+        if sends_complete_tables(digest):
             if digest.table_age_ms < MAX_AGE_MS:
                 self.confirm(digest.table_age_ms / 1000)
         elif digest.servers_age_ms >= 0:
@@ -82,7 +104,13 @@
         return self._clock() - self._confirmed_at
 
     def get_age_ms(self) -> int:
-        """Return the age as digests state it."""
+        """Return the age as digests state it.
+
+        A node with a provisional table presents itself as one of an earlier build, since it would
+        send the others an incomplete table.
+        """
+        if self.provisional:
+            return -1
         return min(round(min(1000 * self.get_age_s(), MAX_AGE_MS)), MAX_AGE_MS)
 
     def is_current(self) -> bool:
@@ -93,3 +121,8 @@
         if self._clock() - self._newer_seen_at <= max_age_s:
             return False
         return self.get_age_s() <= max_age_s
+
+
+def sends_complete_tables(digest: StateDigest) -> bool:
+    """Return whether a node knows all fields of the routing table, judging by its digest."""
+    return digest.table_age_ms >= 0
--- a/src/jasmineseam/node/authentication.py
+++ b/src/jasmineseam/node/authentication.py
@@ -140,9 +140,13 @@
         if proxied.account is not None and not proxied.route.public:
             self._check_freshness(proxied)
         index = self._get_index()
-        if index is None or index.table.version <= proxied.table_version:
+        if index is None:
             return
-        if index.requires_keys and not proxied.authenticated:
+        # A complete table may replace a provisional one of the same version, which lacks accounts.
+        must_authenticate = index.requires_keys and not proxied.authenticated
+        if index.table.version <= proxied.table_version and not must_authenticate:
+            return
+        if must_authenticate:
             # The request arrived before the first routing table that holds accounts.
             self.authenticate(proxied)
         elif index.requires_keys:
@@ -150,7 +154,7 @@
             if account is None and not proxied.route.public:
                 self._refuse_unknown_key(proxied)
             self._set_account(proxied, account)
-        proxied.table_version = index.table.version
+        proxied.table_version = max(proxied.table_version, index.table.version)
 
     def _check_freshness(self, proxied: ProxiedRequest) -> None:
         if not self._fail_closed:
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -213,6 +213,7 @@
             ),
             first_start=self.settings.first_start,
             confirm_routing_table=self.state_sync.table_confirmation.confirm,
+            needs_routing_table=self.state_sync.table_confirmation.needs_read,
         )
         self.prober = LoadProber(
             gateway=self.gateway,
@@ -382,10 +383,13 @@
         reaching = [info for info in live if not services.issubset(info.lost_services)]
         return reaching or live
 
-    def _apply_routing_table(self, table: RoutingTable, source: str) -> bool:
-        applied = self.gateway.apply_routing_table(table)
+    def _apply_routing_table(
+        self, table: RoutingTable, source: str, *, provisional: bool = False
+    ) -> bool:
+        confirmation = self.state_sync.table_confirmation
+        applied = self.gateway.apply_routing_table(table, replace=confirmation.provisional)
         if applied:
-            self.state_sync.table_confirmation.record_table()
+            confirmation.record_table(table.version, provisional=provisional)
             self.logger.info(
                 "Applied routing table version {:08x} with {} routes from {}.",
                 table.version,
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -151,10 +151,15 @@
             self.dispatchers.apply_request_limits()
             self.on_request_limit(limit)
 
-    def apply_routing_table(self, table: RoutingTable) -> bool:
-        """Apply a routing table if its version is newer; return whether it was applied."""
-        if self._route_index is not None and table.version <= self._route_index.table.version:
-            return False
+    def apply_routing_table(self, table: RoutingTable, *, replace: bool = False) -> bool:
+        """Apply a routing table if its version is newer; return whether it was applied.
+
+        :param replace: whether to apply a table of the same version as well.
+        """
+        if self._route_index is not None:
+            oldest = self._route_index.table.version + int(not replace)
+            if table.version < oldest:
+                return False
         self._route_index = RouteIndex(table=table)
         self._service_balancer = WeightedRoundRobin()
         names = {route.name for route in table.routes}
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -56,6 +56,7 @@
                 vm_id=simulated.name, peer_address=node.settings.listeners.notices
             ),
             confirm_routing_table=node.state_sync.table_confirmation.confirm,
+            needs_routing_table=node.state_sync.table_confirmation.needs_read,
         )
         simulated._tasks += [
             asyncio.create_task(node.store_watcher.watch_routing_table()),
--- a/tests/test_key_revocation.py
+++ b/tests/test_key_revocation.py
@@ -234,7 +234,7 @@
     digest = StateDigest(1, 8, StorePosition(1, 1), 0, 0, 0)
     confirmation.record_digest(digest, 7)
     assert not confirmation.is_current()
-    confirmation.record_table()
+    confirmation.record_table(8)
     assert confirmation.is_current()
 
 
@@ -294,7 +294,7 @@
             await lose_path(deployment, cut, authorize(KEY), **RESET)
             status, _, _ = await deployment.send_request(cut.node, "/order/1", **authorize(KEY))
             assert status == 200
-            cut.node.gateway.apply_routing_table = lambda table: False
+            cut.node.gateway.apply_routing_table = lambda table, **options: False
             deployment.write_configuration(version=2, routes=ROUTES, tenants=TENANTS[1:])
             await wait_until(lambda: other.gateway.routing_table.version == 2, "version 2", 2.5)
             status, _, body = await deployment.send_request(
--- a/tests/test_table_spreading.py
+++ b/tests/test_table_spreading.py
@@ -9,7 +9,10 @@
 import msgspec
 import pytest
 
+from jasmineseam.fleet.state_sync import compress_table
 from jasmineseam.fleet.table_confirmation import MAX_TABLE_AGE_S
+from jasmineseam.routing.routes import ClientAccount
+from jasmineseam.routing.routes import hash_key
 from tests.node_simulation import _build_table
 from tests.node_simulation import get_time
 from tests.node_simulation import run_simulation
@@ -127,3 +130,71 @@
         assert simulation.nodes[name].node.gateway.routing_table.version == 2
 
     run_simulation(scenario, node_count=6, server_count=3)
+
+
+def act_as_earlier_build(simulated):
+    """Let a node send digests and routing tables as a node of commit f908b59 does."""
+    sync = simulated.node.state_sync
+    build_digest = sync.build_digest
+    simulated.node.fleet._handlers = simulated.node.fleet._handlers._replace(
+        get_digest=lambda nodes_hash: msgspec.structs.replace(
+            build_digest(nodes_hash), table_age_ms=-1
+        )
+    )
+    sync._get_compressed_table = lambda: compress_table(
+        msgspec.structs.replace(simulated.node.gateway.routing_table, accounts=[])
+    )
+
+
+def get_account_count(simulated):
+    table = simulated.node.gateway.routing_table
+    return 0 if table is None else len(table.accounts)
+
+
+@pytest.mark.parametrize("earlier", ["readers", "all-others"])
+def test_accounts_are_not_lost_by_way_of_nodes_of_an_earlier_build(earlier):
+    """Such nodes know no accounts and leave them out of the tables that they send."""
+
+    async def scenario(simulation):
+        store = await attach_store(simulation)
+        names = list(simulation.nodes)
+        kept = next(name for name in names if name not in store.list_readers())
+        earlier_names = store.list_readers() if earlier == "readers" else set(names) - {kept}
+        for name in earlier_names:
+            act_as_earlier_build(simulation.nodes[name])
+        account = ClientAccount(name="alpha", key_hashes=[hash_key("k1")])
+        store.write_table(msgspec.structs.replace(store.tables[-1], version=2, accounts=[account]))
+        others = [simulation.nodes[name] for name in names if name not in earlier_names]
+        started_at = get_time()
+        while get_time() < started_at + BOUND_S:
+            await asyncio.sleep(0.01)
+            for simulated in others:
+                if simulated.node.gateway.routing_table.version == 2:
+                    assert get_account_count(simulated) == 1
+        assert all(get_account_count(simulated) == 1 for simulated in others)
+
+    run_simulation(scenario, node_count=6, server_count=3)
+
+
+def test_node_that_joins_nodes_of_an_earlier_build_completes_its_table():
+    """It serves with what they send, and sends the incomplete table to nobody."""
+
+    async def scenario(simulation):
+        store = await attach_store(simulation)
+        for simulated in simulation.nodes.values():
+            act_as_earlier_build(simulated)
+        account = ClientAccount(name="alpha", key_hashes=[hash_key("k1")])
+        store.write_table(msgspec.structs.replace(store.tables[-1], version=2, accounts=[account]))
+        await asyncio.sleep(1.0)
+        store.failures["n9"] = "hang"
+        joined = simulation.start_node("n9", knows_state=False)
+        store.attach(joined)
+        await asyncio.sleep(2.0)
+        sync = joined.node.state_sync
+        assert joined.node.gateway.routing_table.version == 2
+        assert (get_account_count(joined), sync.build_digest(0).table_age_ms) == (0, -1)
+        del store.failures["n9"]
+        await asyncio.sleep(3.0)
+        assert (get_account_count(joined), sync.table_confirmation.provisional) == (1, False)
+
+    run_simulation(scenario, node_count=6, server_count=3)
