Keep malformed request lines out of logs and responses; test where keys appear

aiohttp repeats the malformed line of a request in its log line and in the body of the 400. If the header with the key is malformed, for example by a control character, the key was logged.

The node now logs the kind of the error only and answers with the text malformed-request.

--- a/src/jasmineseam/node/listeners.py
+++ b/src/jasmineseam/node/listeners.py
@@ -11,6 +11,7 @@
 from ..operations.node_settings import NodeListeners
 from ..routing.routes import CallerLimits
 from ..transport.caller_connections import CallerServer
+from ..transport.caller_connections import DiscreetServer
 from .endpoints import NodeEndpoints
 
 MAX_HEADER_LINE_BYTES = 65_536
@@ -87,4 +88,4 @@
 
 
 def _build_http_server(handler: t.Callable) -> web.Server:
-    return web.Server(handler, handler_cancellation=True, **HTTP_SERVER_OPTIONS)
+    return DiscreetServer(handler, **HTTP_SERVER_OPTIONS)
--- a/src/jasmineseam/transport/caller_connections.py
+++ b/src/jasmineseam/transport/caller_connections.py
@@ -6,7 +6,9 @@
 import time
 import typing as t
 
+import logbook
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.web_protocol import RequestHandler
 
 # longer than any configured idle limit, because aiohttp's own limit cannot be changed at run time;
@@ -27,7 +29,52 @@
 )
 
 
-class CallerConnection(RequestHandler):
+_logger = logbook.Logger("callers")
+
+
+class DiscreetConnection(RequestHandler):
+    """aiohttp's protocol, without what a malformed request contains in logs and responses.
+
+    aiohttp repeats the malformed line in both, which may be one that holds a key.
+    """
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the response to a request that can't be handled, which closes the connection."""
+        if not isinstance(exc, HttpProcessingError):
+            return super().handle_error(request, status, exc, message)
+        _logger.info("Malformed request from {}: {}.", request.remote, type(exc).__name__)
+        if request.writer.output_size > 0:
+            raise ConnectionError("part of a response has been sent already")
+        response = web.Response(status=status, text="malformed-request\n")
+        response.force_close()
+        return response
+
+
+class DiscreetServer(web.Server):
+    """aiohttp server whose connections are :class:`DiscreetConnection` objects.
+
+    :param handler: coroutine that handles a request.
+    :param options: options of aiohttp's protocol.
+    """
+
+    def __init__(self, handler: t.Callable, **options: t.Any) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self._options = options
+
+    def __call__(self) -> DiscreetConnection:
+        """Return the protocol object of a new connection."""
+        return DiscreetConnection(self, loop=asyncio.get_running_loop(), **self._options)
+
+
+class CallerConnection(DiscreetConnection):
     """aiohttp's protocol, extended by the state of the current request.
 
     The times are monotonic, in seconds. ``idle_since`` is the end of the last request, or the
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -1,10 +1,26 @@
 """Client accounts: authentication by keys, and keys that must not leave the node."""
 
+import asyncio
+import contextlib
+import json
+import re
+import time
+
+import logbook
 import pytest
+from prometheus_client import generate_latest
 
+from jasmineseam.operations.node_settings import NodeOptions
+from jasmineseam.operations.settings import MetricSettings
+from jasmineseam.peers import datagrams
+from jasmineseam.peers import rpc
+from jasmineseam.peers.messages import StateDigest
+from jasmineseam.peers.messages import decode_message
+from jasmineseam.peers.messages import encode_message
 from jasmineseam.requests.fingerprint import compute_fingerprint
 from standins.configuration import build_route
 from tests.deployment import run_scenario
+from tests.deployment import wait_until
 from tests.test_relays import RESET
 from tests.test_relays import lose_path
 from tests.test_relays import start_nodes
@@ -138,9 +154,6 @@
 
 def record_messages(monkeypatch, messages):
     """Record the encoded messages that nodes send and receive."""
-    from jasmineseam.peers import datagrams
-    from jasmineseam.peers import rpc
-    from jasmineseam.peers.messages import encode_message
 
     def encode(message):
         data = encode_message(message)
@@ -149,3 +162,206 @@
 
     for module in (datagrams, rpc):
         monkeypatch.setattr(module, "encode_message", encode)
+
+
+# Messages of nodes of commit f908b59, encoded there.
+OLD_PING = (
+    "0184a474797065a470696e67a673656e6465729aa4766d2d3107a26431aa31302e302e302e313a31aa31302e302e302e"
+    "313a32aa31302e302e302e313a33c3c2c390a6646967657374950501920104ccfa09a16e03"
+)
+OLD_RELAYED_REQUEST = (
+    "018fa474797065af72656c617965642d72657175657374a872656c61795f6964a8766d2d312f312d31a7736572766963"
+    "65a173a5726f75746589a46e616d65a172a4686f7374a168ab706174685f707265666978a12faa6964656d706f74656e"
+    "74c3a873657276696365739182a773657276696365a173a6776569676874cb3ff0000000000000ac6d61785f61747465"
+    "6d70747301a87072696f7269747900a974696d656f75745f73c0a87461726765745f73c0ad7461626c655f7665727369"
+    "6f6e01aa726571756573745f6964a3712d31a66d6574686f64a3474554a470617468c4022f61a7686561646572739292"
+    "c404486f7374c4016892c40d417574686f72697a6174696f6ec409426561726572206b31a4626f6479c400ab72656d61"
+    "696e696e675f73cb3ff0000000000000a87461726765745f73cb3fe0000000000000a9656c61707365645f73cb000000"
+    "0000000000a7636f756e746564c3b36578636c756465645f7365727665725f69647390"
+)
+
+
+def test_messages_of_the_earlier_build_are_understood():
+    ping = decode_message(bytes.fromhex(OLD_PING))
+    assert (ping.digest.servers_age_ms, ping.digest.table_age_ms) == (250, -1)
+    request = decode_message(bytes.fromhex(OLD_RELAYED_REQUEST))
+    assert (request.request_id, request.account, request.key_hash) == ("q-1", None, b"")
+    # The fields that this build adds come last, where nodes of the earlier build ignore them.
+    assert decode_message(encode_message(ping)) == ping
+    assert list(StateDigest.__struct_fields__)[-1] == "table_age_ms"
+
+
+async def send_raw(node, *parts, pause_s=0.0):
+    """Send bytes over one connection and return all that the node sends until it is silent."""
+    host, _, port = node.settings.listeners.entry.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    received = b""
+    try:
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(pause_s)
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(1.0):
+                while chunk := await reader.read(65536):
+                    received += chunk
+    finally:
+        writer.close()
+    return received
+
+
+def build_head(method, path, *headers):
+    lines = [f"{method} {path} HTTP/1.1", "Host: fit.example", *headers, "", ""]
+    return "\r\n".join(lines).encode()
+
+
+def list_statuses(received):
+    return [int(status) for status in re.findall(rb"HTTP/1\.1 (\d{3}) ", received)]
+
+
+BEARER = f"Authorization: Bearer {KEY}"
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        ([BEARER], 200),
+        ([f"aUTHORIZATION: bEARER {KEY}"], 200),
+        ([BEARER, BEARER], 401),
+        ([BEARER, f"Authorization: Bearer {OTHER_KEY}"], 401),
+        ([f"Authorization: Basic {KEY}", BEARER], 401),
+        ([BEARER, "Jasmineseam-Tenant: beta", "jasmineseam-tenant: gamma"], 200),
+        ([f"Proxy-Authorization: Bearer {KEY}"], 401),
+    ],
+)
+def test_headers_given_twice_or_in_odd_case(headers, status):
+    async def scenario(deployment):
+        node = await start_node(deployment)
+        received = await send_raw(node, build_head("GET", "/safe/1", *headers))
+        assert list_statuses(received) == [status]
+        (instance,) = deployment.instances.values()
+        sent = [head for head in instance.request_headers if head.get("host") == "fit.example"]
+        assert len(sent) == int(status == 200)
+        for head in sent:
+            assert head["jasmineseam-tenant"] == "alpha"
+            assert KEY not in str(head)
+
+    run_scenario(scenario)
+
+
+def test_pipelined_requests_are_authenticated_one_by_one():
+    """Guards against a key that counts for later requests of its connection."""
+
+    async def scenario(deployment):
+        node = await start_node(deployment)
+        keyed = build_head("GET", "/safe/1", BEARER)
+        bare = build_head("GET", "/safe/2")
+        wrong = build_head("GET", "/safe/3", "Authorization: Bearer k-unknown")
+        received = await send_raw(node, keyed + bare + wrong + keyed)
+        assert list_statuses(received) == [200, 401, 401, 200]
+        received = await send_raw(node, keyed, bare, keyed, pause_s=0.1)
+        assert list_statuses(received) == [200, 401, 200]
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("method", "headers", "body"),
+    [
+        ("HEAD", [], b""),
+        ("POST", ["Content-Length: 900000"], b""),
+        ("POST", ["Content-Length: 900000"], b"x" * 1000),
+        ("POST", ["Content-Length: 900000", "Expect: 100-continue"], b""),
+        ("POST", ["Transfer-Encoding: chunked"], b"5\r\nGET /\r\n"),
+    ],
+)
+def test_401_does_not_wait_for_the_body(method, headers, body):
+    async def scenario(deployment):
+        node = await start_node(deployment)
+        started_at = time.monotonic()
+        host, _, port = node.settings.listeners.entry.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(build_head(method, "/safe/1", *headers) + body)
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0)
+        assert head.startswith(b"HTTP/1.1 401 ")
+        assert time.monotonic() - started_at < 0.5
+        writer.close()
+
+    run_scenario(scenario)
+
+
+def test_refused_body_is_not_taken_for_a_request():
+    """The rest of a body that the node has not read may look like a request with a valid key."""
+
+    async def scenario(deployment):
+        node = await start_node(deployment)
+        inner = build_head("GET", "/safe/1", BEARER)
+        outer = build_head("POST", "/safe/2", f"Content-Length: {len(inner)}")
+        received = await send_raw(node, outer, inner, pause_s=0.1)
+        assert list_statuses(received) == [401]
+        received = await send_raw(node, outer + inner + inner)
+        assert list_statuses(received) in ([401], [401, 200])
+        (instance,) = deployment.instances.values()
+        runs = [head for head in instance.request_headers if head.get("host") == "fit.example"]
+        assert len(runs) <= 1
+
+    run_scenario(scenario)
+
+
+def test_key_appears_in_no_output(monkeypatch, capfd, caplog):
+    """Searches log lines, dumps, metrics, responses and messages between nodes."""
+    messages = []
+    outputs = []
+    bad_keys = ("k-unknown-9f3b", "k-broken-4d21")
+
+    async def scenario(deployment):
+        options = NodeOptions(metrics=MetricSettings(exporter="prometheus"), fatal_invariants=True)
+        deployment.write_configuration(routes=ROUTES, tenants=TENANTS)
+        await deployment.add_instance("i-1")
+        nodes = [await deployment.add_node(f"vm-{n}", options=options) for n in range(2)]
+        (instance,) = deployment.instances.values()
+        for key in (KEY, *bad_keys):
+            for path in ("/safe/1", "/order/1", "/open/1", "/none/1"):
+                answer = await deployment.send_request(nodes[0], path, **authorize(key))
+                outputs.append(repr(answer))
+        # headers that the HTTP parser rejects
+        for line in (f"{BEARER}\x00", f"Authorization : Bearer {bad_keys[1]}", f"{BEARER}\x07x"):
+            outputs.append(repr(await send_raw(nodes[0], build_head("GET", "/safe/1", line))))
+        deployment.write_configuration(version=2, routes=ROUTES, tenants=TENANTS[1:])
+        await wait_until(
+            lambda: all(node.gateway.routing_table.version == 2 for node in nodes), "version 2"
+        )
+        answer = await deployment.send_request(nodes[0], "/safe/1", **authorize(KEY))
+        assert answer[0] == 401
+        # A configuration in which two accounts share a key stays out of force as a whole.
+        twins = [{"name": name, "api-keys": [KEY]} for name in ("one", "two")]
+        deployment.write_configuration(version=3, routes=ROUTES, tenants=twins)
+        await asyncio.sleep(1.2)
+        assert all(node.gateway.routing_table.version == 2 for node in nodes)
+        # An internal error logs a traceback.
+        nodes[0].gateway.attempts.run = None
+        answer = await deployment.send_request(nodes[0], "/safe/1", **authorize(OTHER_KEY))
+        assert answer[0] == 503
+        outputs.extend([repr(answer), *(node.dump_state() for node in nodes)])
+        outputs.extend(json.dumps(line) for node in nodes for line in node.lines)
+        outputs.append(generate_latest().decode())
+        sent = [
+            {**head, "authorization": ""}
+            for head in instance.request_headers
+            if head.get("host") == "fit.example"
+        ]
+        outputs.append(repr(sent))
+        assert not any("authorization" in head for head in instance.request_headers)
+
+    record_messages(monkeypatch, messages)
+    with logbook.TestHandler().applicationbound() as handler:
+        run_scenario(scenario)
+    captured = capfd.readouterr()
+    outputs.extend([captured.out, captured.err, caplog.text, *handler.formatted_records])
+    text = "\n".join(outputs)
+    assert "unknown-key" in text
+    assert "alpha" in text
+    assert "share a key" in text
+    for key in (KEY, OTHER_KEY, *bad_keys):
+        assert key not in text
+        assert not any(key.encode() in data for data in messages)
+    assert messages
