--- a/src/jasmineseam/fleet/store_watcher.py
+++ b/src/jasmineseam/fleet/store_watcher.py
@@ -54,6 +54,10 @@
 FIRST_START_READ_DELAY_S = 2.0
 RESTART_READ_DELAY_S = 0.1
 MAX_WAIT_S = 0.5
+# Interval at which a node checks whether it has to read the routing table. If the store leaves all
+# calls of both readers unanswered, they find out after READ_INTERVAL_S and a timeout of 0.7 s, or
+# 1.5 s while the store is slow; a new table must be in force 2.5 s after it was written.
+ROUTING_TABLE_ROLE_CHECK_S = 0.1
 # changes in one notice, so that it fits into a datagram
 MAX_CHANGES_PER_NOTICE = 4
 # number of nodes whose addresses are in the store, for nodes that know no other node
@@ -82,6 +86,11 @@
     :param add_contact: called with the address of each node in the store.
     :param own_record: the record of this node.
     :param first_start: whether the whole system starts for the first time.
+    :param confirm_routing_table: called after each read of the routing table with the time since
+        the read began, in seconds; also if the store holds an invalid table, since the valid one
+        before it stays in force then.
+    :param needs_routing_table: returns whether this node has to read the routing table although it
+        does not read the store on behalf of the others.
     """
 
     def __init__(
@@ -97,6 +106,8 @@
         add_contact: t.Callable[[str], None],
         own_record: NodeRecord,
         first_start: bool = False,
+        confirm_routing_table: t.Callable[[float], None] = lambda age_s: None,
+        needs_routing_table: t.Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._registry = registry
@@ -107,6 +118,8 @@
         self._set_reachable = set_reachable
         self._add_contact = add_contact
         self._own_record = own_record
+        self._confirm_routing_table = confirm_routing_table
+        self._needs_routing_table = needs_routing_table
         self._first_read_delay_s = (
             FIRST_START_READ_DELAY_S if first_start else RESTART_READ_DELAY_S
         )
@@ -132,10 +145,11 @@
         backoff = Backoff()
         position = None
         while True:
-            if not self.is_reader():
+            if not (self.is_reader() or self._needs_routing_table()):
                 position = None
-                await asyncio.sleep(self._compute_role_check_s())
+                await asyncio.sleep(min(ROUTING_TABLE_ROLE_CHECK_S, self._compute_role_check_s()))
                 continue
+            started_at = time.monotonic()
             try:
                 if position is None:
                     read = await self._store.read_routing_table()
@@ -149,6 +163,7 @@
                     "delay: {}",
                     error,
                 )
+                self._confirm_routing_table(time.monotonic() - started_at)
                 position = None
                 await asyncio.sleep(backoff.record_failure())
                 continue
@@ -169,6 +184,11 @@
             self._record_timeline(position.timeline)
             self._routing_table_read_at = time.monotonic()
             self._apply_routing_table(read)
+            age_s = self._routing_table_read_at - started_at
+            if read.table is None and age_s >= ROUTING_TABLE_POLL_TIMEOUT_S:
+                # The store has answered at the end of the poll.
+                age_s -= ROUTING_TABLE_POLL_TIMEOUT_S
+            self._confirm_routing_table(age_s)
             if read.table is None and position.offset == 0:
                 # The store holds no routing table yet and may reject a long poll at position 0.
                 await asyncio.sleep(INITIAL_BACKOFF_S)
@@ -367,10 +387,15 @@
         now = time.monotonic()
         if now - self._routing_table_read_at < ROUTING_TABLE_CHECK_INTERVAL_S:
             return
-        read = await self._store.read_routing_table()
+        try:
+            read = await self._store.read_routing_table()
+        except InvalidRecordError:
+            self._confirm_routing_table(time.monotonic() - now)
+            raise
         self._record_timeline(read.position.timeline)
         self._routing_table_read_at = now
         self._apply_routing_table(read)
+        self._confirm_routing_table(time.monotonic() - now)
 
     def _apply_routing_table(self, read: RoutingTableRead) -> None:
         if read.table is not None:
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -30,6 +30,7 @@
 from ..transport.connection_pool import ConnectionPool
 from ..transport.request_body import read_body
 from .attempts import AttemptRunner
+from .authentication import Authenticator
 from .dispatchers import Dispatchers
 from .proxied_request import ProxiedRequest
 from .proxied_request import build_request_log_line
@@ -78,6 +79,9 @@
         self._request_log = request_log
         self.request_limits = RequestLimits(clock=time.monotonic)
         self._route_index: RouteIndex | None = None
+        self.authenticator = Authenticator(
+            header_codec=header_codec, get_index=lambda: self._route_index
+        )
         self._service_balancer = WeightedRoundRobin()
         self._timeout_estimators: dict[str, CallerTimeoutEstimator] = {}
         self.dispatchers = Dispatchers(
@@ -95,6 +99,7 @@
             retry_limits=retry_limits,
             record_server_state=self.record_server_state,
         )
+        self.attempts.check_account = self.authenticator.check
         # Called with a server's id and the Unix time of its start in milliseconds if a response
         # reports that the server is leaving.
         self.on_server_leaving: t.Callable[[str, int], None] = lambda server_id, started_ms: None
@@ -151,10 +156,15 @@
             self.dispatchers.apply_request_limits()
             self.on_request_limit(limit)
 
-    def apply_routing_table(self, table: RoutingTable) -> bool:
-        """Apply a routing table if its version is newer; return whether it was applied."""
-        if self._route_index is not None and table.version <= self._route_index.table.version:
-            return False
+    def apply_routing_table(self, table: RoutingTable, *, replace: bool = False) -> bool:
+        """Apply a routing table if its version is newer; return whether it was applied.
+
+        :param replace: whether to apply a table of the same version as well.
+        """
+        if self._route_index is not None:
+            oldest = self._route_index.table.version + int(not replace)
+            if table.version < oldest:
+                return False
         self._route_index = RouteIndex(table=table)
         self._service_balancer = WeightedRoundRobin()
         names = {route.name for route in table.routes}
@@ -265,6 +275,7 @@
         if route is None:
             raise NotRunError("no-route", 404)
         proxied.route = route
+        self.authenticator.authenticate(proxied)
         remaining_s = proxied.head.remaining_s
         if remaining_s is None:
             remaining_s = DEFAULT_REQUEST_TIMEOUT_S
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -219,6 +219,8 @@
         milliseconds; -1 if the node has no list.
     :param notices_hash: hash over the listed servers that have reported their departure, the
         limits that servers name and the crashes of servers under requests.
+    :param table_age_ms: time since a read of the store confirmed that there is no newer routing
+        table, in milliseconds; the largest value if none did, -1 from nodes of earlier builds.
     """
 
     nodes_hash: int
@@ -226,6 +228,7 @@
     servers_position: StorePosition
     servers_age_ms: t.Annotated[int, msgspec.Meta(ge=-1, le=2**31)]
     notices_hash: int = 0
+    table_age_ms: t.Annotated[int, msgspec.Meta(ge=-1, le=2**31)] = -1
 
 
 class FleetMessage(Message):
@@ -358,6 +361,10 @@
     :param elapsed_s: time since the caller's first attempt, in seconds.
     :param counted: whether the sender has counted the request for its retry budget.
     :param excluded_server_ids: servers that already received an attempt of the request.
+    :param account: name of the request's client account, empty for none; ``None`` if the sender
+        has not authenticated the request, as nodes of earlier builds do not.
+    :param key_hash: digest of the request's key, by which the receiver finds out that the key was
+        removed. The routing tables that nodes send each other contain the same digests.
     """
 
     relay_id: str
@@ -374,6 +381,8 @@
     elapsed_s: float
     counted: bool
     excluded_server_ids: list[str]
+    account: str | None = None
+    key_hash: bytes = b""
 
 
 class RelayedResponse(Message, tag="relayed-response"):
