Evacuate failure domains by records of the store

Cause: the operator had no way to take all requests off a failure domain. Change: nodes read evacuate/ZONE with the configuration, spread the state by Update and StateReply, and leave out the servers of evacuated domains. A node that has just started waits for evacuations that another node has announced.

--- a/src/jasmineseam/fleet/outbox.py
+++ b/src/jasmineseam/fleet/outbox.py
@@ -4,6 +4,7 @@
 
 import typing as t
 
+from ..membership.evacuations import EvacuationState
 from ..membership.nodes import NodeInfo
 from ..membership.registry import Departure
 from ..membership.request_limits import RequestLimit
@@ -15,12 +16,23 @@
 MAX_DEPARTURES_PER_UPDATE = 15
 MAX_LIMITS_PER_UPDATE = 15
 MAX_CRASHES_PER_UPDATE = 10
+MAX_EVACUATION_BYTES = 900
+# encoded position and time of one evacuation
+BYTES_PER_EVACUATION = 32
 
 
 class Outbox:
     """News to be sent, which is divided into parts that fit into datagrams."""
 
-    __slots__ = ("_crashes", "_departures", "_limits", "_nodes", "_servers", "_suspected")
+    __slots__ = (
+        "_crashes",
+        "_departures",
+        "_evacuations",
+        "_limits",
+        "_nodes",
+        "_servers",
+        "_suspected",
+    )
 
     def __init__(self) -> None:
         self._clear()
@@ -33,8 +45,11 @@
         servers: ServersNotice | None,
         request_limits: t.Iterable[RequestLimit] = (),
         crashes: t.Iterable[CrashReport] = (),
+        evacuations: EvacuationState | None = None,
     ) -> None:
         """Add news; an older state of the same node is replaced."""
+        if evacuations is not None:
+            self._evacuations = evacuations
         self._nodes.update((info.vm_id, info) for info in nodes)
         self._suspected.update(suspected)
         self._departures.update((departure.server_id, departure) for departure in departures)
@@ -53,7 +68,10 @@
             ("crashes", self._crashes, MAX_CRASHES_PER_UPDATE),
         )
         servers = self._servers
+        evacuations = self._evacuations
         self._clear()
+        if evacuations is not None and _fits(evacuations):
+            yield {"evacuations": evacuations}
         for field, items, max_items in batches:
             for start in range(0, len(items), max_items):
                 yield {field: items[start : start + max_items]}
@@ -67,3 +85,11 @@
         self._servers: list[ServersNotice] = []
         self._limits: dict[str, RequestLimit] = {}
         self._crashes: list[CrashReport] = []
+        self._evacuations: EvacuationState | None = None
+
+
+def _fits(evacuations: EvacuationState) -> bool:
+    """Return whether a state fits into a datagram; nodes request a larger one by its position."""
+    entries = (*evacuations.failure_domains, *evacuations.retained, *evacuations.withdrawn)
+    size = sum(len(failure_domain.encode()) + BYTES_PER_EVACUATION for failure_domain in entries)
+    return size <= MAX_EVACUATION_BYTES
--- a/src/jasmineseam/fleet/spreading.py
+++ b/src/jasmineseam/fleet/spreading.py
@@ -18,6 +18,7 @@
 import logbook
 import xxhash
 
+from ..membership.evacuations import EvacuationState
 from ..membership.nodes import NodeInfo
 from ..membership.nodes import NodeMembership
 from ..membership.nodes import combine_digests
@@ -59,6 +60,8 @@
     :param add_request_limits: called with limits that servers name; returns the new ones.
     :param add_crashes: called with crashes of servers under requests; returns the new ones.
     :param apply_servers: called with changes of the server list; returns whether they were new.
+    :param apply_evacuations: called with evacuated failure domains; returns the state to forward,
+        ``None`` if nothing was new.
     :param on_nodes_changed: called when a node's state or status has changed.
     """
 
@@ -69,6 +72,7 @@
     add_crashes: t.Callable[[list[CrashReport]], list[CrashReport]] = lambda crashes: []
     apply_servers: t.Callable[[ServersNotice], bool] = lambda notice: False
     on_nodes_changed: t.Callable[[], None] = lambda: None
+    apply_evacuations: t.Callable[[EvacuationState], EvacuationState | None] = lambda state: None
 
 
 class Fleet:
@@ -153,13 +157,16 @@
         servers: ServersNotice | None = None,
         request_limits: t.Iterable[RequestLimit] = (),
         crashes: t.Iterable[CrashReport] = (),
+        evacuations: EvacuationState | None = None,
         urgent: bool = False,
     ) -> None:
         """Send news to a few nodes, which forward it.
 
         :param urgent: whether to send at once, and to twice as many nodes.
         """
-        self._outbox.add(nodes, suspected, departures, servers, request_limits, crashes)
+        self._outbox.add(
+            nodes, suspected, departures, servers, request_limits, crashes, evacuations
+        )
         if urgent:
             self._flush(2 * FANOUT)
             return
@@ -241,8 +248,11 @@
         servers = message.servers
         if servers is not None and not self._handlers.apply_servers(servers):
             servers = None
+        evacuations = message.evacuations
+        if evacuations is not None:
+            evacuations = self._handlers.apply_evacuations(evacuations)
         news = (new_nodes, new_suspicions, new_departures, new_limits, new_crashes)
-        if any(news) or servers is not None:
+        if any(news) or servers is not None or evacuations is not None:
             self.publish(
                 nodes=new_nodes,
                 suspected=new_suspicions,
@@ -250,6 +260,7 @@
                 servers=servers,
                 request_limits=new_limits,
                 crashes=new_crashes,
+                evacuations=evacuations,
             )
 
     def _compare(self, sender: NodeInfo, digest: StateDigest) -> None:
@@ -309,6 +320,8 @@
             self._handlers.on_nodes_changed()
 
 
-def _get_reader_key(info: NodeInfo) -> tuple[bool, int]:
+def _get_reader_key(info: NodeInfo) -> tuple[bool, bool, int]:
     unsuitable = info.leaving or not info.reads_store
-    return unsuitable, xxhash.xxh3_64_intdigest(info.vm_id.encode())
+    # Builds without evacuations don't pass them on, so other nodes must read the store as well.
+    unaware = info.evacuated is None
+    return unsuitable, unaware, xxhash.xxh3_64_intdigest(info.vm_id.encode())
--- a/src/jasmineseam/fleet/state_sync.py
+++ b/src/jasmineseam/fleet/state_sync.py
@@ -18,6 +18,8 @@
 
 from ..exceptions import InvalidMessageError
 from ..exceptions import PeerError
+from ..membership.evacuations import Evacuations
+from ..membership.evacuations import EvacuationState
 from ..membership.nodes import NodeInfo
 from ..membership.registry import ServerRegistry
 from ..membership.request_limits import RequestLimit
@@ -38,6 +40,9 @@
 # Interval between two requests only because of departures, limits or crashes that may be
 # missing.
 NOTICES_REQUEST_INTERVAL_S = 1.0
+# An announcement of evacuations no longer counts if it is not repeated within this time, since its
+# sender may have failed. Each node hears from others every 0.5 s.
+ANNOUNCEMENT_LIFETIME_S = 2.0
 # A connection to a node is closed if it was not used for this time.
 IDLE_CONNECTION_S = 5.0
 # changes of the server list that are kept for nodes that lack only those
@@ -111,6 +116,8 @@
     :param apply_table: applies a routing table from the node with the given VM id.
     :param add_request_limits: applies limits that servers name.
     :param add_crashes: applies reports of crashes.
+    :param evacuations: the evacuated failure domains.
+    :param apply_evacuations: applies evacuated failure domains.
     """
 
     def __init__(
@@ -124,12 +131,19 @@
         apply_table: t.Callable[[RoutingTable, str], bool],
         add_request_limits: t.Callable[[list[RequestLimit]], t.Any],
         add_crashes: t.Callable[[list[CrashReport]], t.Any],
+        evacuations: Evacuations,
+        apply_evacuations: t.Callable[[EvacuationState], t.Any],
     ) -> None:
         self._registry = registry
         self._request_limits = request_limits
         self._add_request_limits = add_request_limits
         self._quarantine = quarantine
         self._add_crashes = add_crashes
+        self._evacuations = evacuations
+        self._apply_evacuations = apply_evacuations
+        # digest of the node that has last announced evacuations which this node lacked
+        self._announced: StateDigest | None = None
+        self._announced_at = float("-inf")
         self._peer_clients = peer_clients
         self._get_table = get_table
         self._apply_table = apply_table
@@ -152,8 +166,18 @@
             servers_position=registry.position,
             servers_age_ms=age_ms if registry.loaded else -1,
             notices_hash=self._compute_notices_hash(),
+            evacuations_position=self._evacuations.state.position,
+            evacuations_hash=self._evacuations.compute_hash(),
         )
 
+    def lacks_evacuations(self) -> bool:
+        """Return whether another node has announced evacuations that this node lacks."""
+        if self._announced is None:
+            return False
+        if time.monotonic() - self._announced_at > ANNOUNCEMENT_LIFETIME_S:
+            return False
+        return self._differs_in_evacuations(self._announced)
+
     def handle_digest(self, sender: NodeInfo, digest: StateDigest) -> None:
         """Confirm the own state by the digest of another node, or request what is newer."""
         registry = self._registry
@@ -165,6 +189,9 @@
             and position <= registry.position
         ):
             registry.mark_confirmed(digest.servers_age_ms / 1000, detect_outage=False)
+        if self._differs_in_evacuations(digest):
+            self._announced = digest
+            self._announced_at = time.monotonic()
         if not self._is_newer(digest):
             return
         self._sources.pop(sender.vm_id, None)
@@ -187,6 +214,7 @@
         reply.departures = registry.list_departures()
         reply.request_limits = self._request_limits.list_limits()
         reply.crashes = self._quarantine.list_reports()
+        reply.evacuations = self._evacuations.state
         return reply
 
     def apply_notice(self, notice: ServersNotice) -> bool:
@@ -218,6 +246,13 @@
     def _is_newer(self, digest: StateDigest) -> bool:
         if digest.table_version > self._get_table_version():
             return True
+        if digest.evacuations_position > self._evacuations.state.position:
+            return True
+        may_request_notices = (
+            time.monotonic() - self._notices_requested_at > NOTICES_REQUEST_INTERVAL_S
+        )
+        if may_request_notices and self._differs_in_evacuations(digest):
+            return True
         registry = self._registry
         if digest.servers_age_ms < 0:
             return False
@@ -227,9 +262,16 @@
         return (
             digest.servers_position == registry.position
             and digest.notices_hash != self._compute_notices_hash()
-            and time.monotonic() - self._notices_requested_at > NOTICES_REQUEST_INTERVAL_S
+            and may_request_notices
         )
 
+    def _differs_in_evacuations(self, digest: StateDigest) -> bool:
+        """Return whether this node may lack evacuations that the sender of a digest knows."""
+        position = self._evacuations.state.position
+        if digest.evacuations_position != position:
+            return digest.evacuations_position > position
+        return digest.evacuations_hash != self._evacuations.compute_hash()
+
     def _compute_notices_hash(self) -> int:
         """Return a hash over what nodes observe of servers and send each other."""
         return (
@@ -262,6 +304,9 @@
         reply = await self._peer_clients.get(address).request(request, REQUEST_TIMEOUT_S)
         if not isinstance(reply, StateReply):
             raise InvalidMessageError(f"unexpected reply {type(reply).__name__}")
+        # The routing table can make this node ready, so evacuations are applied before it.
+        if reply.evacuations is not None:
+            self._apply_evacuations(reply.evacuations)
         if reply.table:
             self._apply_table(decompress_table(reply.table), source.vm_id)
         for departure in reply.departures:
--- a/src/jasmineseam/fleet/store_protocol.py
+++ b/src/jasmineseam/fleet/store_protocol.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ..exceptions import InvalidRecordError
+from ..membership.evacuations import EvacuationState
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerListing
 from ..membership.store_position import StorePosition
@@ -26,14 +28,18 @@
 
 
 class RoutingTableRead(t.NamedTuple):
-    """Result of reading the routing table.
+    """Result of reading the configuration.
 
     :param table: the routing table, ``None`` if there is no newer one.
     :param position: the position in the store at which subsequent changes start.
+    :param evacuations: the failure domains that are evacuated as of the position.
+    :param error: why the newest routing table is invalid, ``None`` if it is valid.
     """
 
     table: RoutingTable | None
     position: StorePosition
+    evacuations: EvacuationState = EvacuationState()
+    error: InvalidRecordError | None = None
 
 
 class MetadataStoreProtocol(t.Protocol):
@@ -43,9 +49,12 @@
         """Return the latest routing table."""
 
     async def wait_for_routing_table(
-        self, position: StorePosition, wait_s: float
+        self,
+        position: StorePosition,
+        wait_s: float,
+        failure_domains: t.Mapping[str, StorePosition],
     ) -> RoutingTableRead:
-        """Wait up to *wait_s* seconds for a routing table at *position* or later."""
+        """Wait up to *wait_s* seconds for a configuration record at *position* or later."""
 
     async def read_servers(self) -> tuple[list[ServerListing], StorePosition]:
         """Return all servers and the position at which subsequent changes start."""
--- a/src/jasmineseam/fleet/store_watcher.py
+++ b/src/jasmineseam/fleet/store_watcher.py
@@ -18,10 +18,10 @@
 
 import logbook
 
-from ..exceptions import InvalidRecordError
 from ..exceptions import PlatformError
 from ..exceptions import RecordsTrimmedError
 from ..exceptions import StoreRestoredError
+from ..membership.evacuations import EvacuationState
 from ..membership.registry import Departure
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerRegistry
@@ -73,6 +73,8 @@
     :param registry: updated with the server list.
     :param on_routing_table: called with a routing table and its source; returns whether the table
         was newer and has been applied.
+    :param on_evacuations: called with the evacuated failure domains as of a read of the store,
+        before the routing table of the same read.
     :param on_server_changes: called with the changes that a read of the store has brought, in
         parts with their positions.
     :param get_rank: returns the rank of this node among those that may read the store, 0 for the
@@ -97,10 +99,12 @@
         add_contact: t.Callable[[str], None],
         own_record: NodeRecord,
         first_start: bool = False,
+        on_evacuations: t.Callable[[EvacuationState], None] = lambda state: None,
     ) -> None:
         self._store = store
         self._registry = registry
         self._on_routing_table = on_routing_table
+        self._on_evacuations = on_evacuations
         self._on_server_changes = on_server_changes
         self._get_rank = get_rank
         self._get_node_count = get_node_count
@@ -131,6 +135,7 @@
         """Apply new routing tables while this node is a reader, until cancelled."""
         backoff = Backoff()
         position = None
+        failure_domains: dict[str, StorePosition] = {}
         while True:
             if not self.is_reader():
                 position = None
@@ -141,17 +146,8 @@
                     read = await self._store.read_routing_table()
                 else:
                     read = await self._store.wait_for_routing_table(
-                        position, ROUTING_TABLE_POLL_TIMEOUT_S
+                        position, ROUTING_TABLE_POLL_TIMEOUT_S, failure_domains
                     )
-            except InvalidRecordError as error:
-                _logger.error(
-                    "Ignoring an invalid routing table in the store; reading it again after a "
-                    "delay: {}",
-                    error,
-                )
-                position = None
-                await asyncio.sleep(backoff.record_failure())
-                continue
             except RecordsTrimmedError:
                 position = None
                 continue
@@ -164,11 +160,21 @@
                 position = None
                 await asyncio.sleep(backoff.record_failure())
                 continue
-            self._log_recovery("routing table", backoff)
-            position = read.position
-            self._record_timeline(position.timeline)
+            self._record_timeline(read.position.timeline)
             self._routing_table_read_at = time.monotonic()
             self._apply_routing_table(read)
+            if read.error is not None:
+                _logger.error(
+                    "Ignoring an invalid routing table in the store; reading it again after a "
+                    "delay: {}",
+                    read.error,
+                )
+                position = None
+                await asyncio.sleep(backoff.record_failure())
+                continue
+            self._log_recovery("routing table", backoff)
+            position = read.position
+            failure_domains = read.evacuations.failure_domains
             if read.table is None and position.offset == 0:
                 # The store holds no routing table yet and may reject a long poll at position 0.
                 await asyncio.sleep(INITIAL_BACKOFF_S)
@@ -191,12 +197,6 @@
             except StoreRestoredError as error:
                 self._record_timeline(error.timeline)
                 continue
-            except InvalidRecordError as error:
-                _logger.error(
-                    "Ignoring an invalid routing table in the store; reading it again with the "
-                    "server list: {}",
-                    error,
-                )
             except PlatformError as error:
                 self._log_failure("servers", error, backoff)
                 self._unreachable_until = time.monotonic() + FAILED_READER_PAUSE_S
@@ -371,8 +371,15 @@
         self._record_timeline(read.position.timeline)
         self._routing_table_read_at = now
         self._apply_routing_table(read)
+        if read.error is not None:
+            _logger.error(
+                "Ignoring an invalid routing table in the store; reading it again with the "
+                "server list: {}",
+                read.error,
+            )
 
     def _apply_routing_table(self, read: RoutingTableRead) -> None:
+        self._on_evacuations(read.evacuations)
         if read.table is not None:
             self._on_routing_table(read.table, "store")
 
--- a/src/jasmineseam/membership/nodes.py
+++ b/src/jasmineseam/membership/nodes.py
@@ -38,6 +38,8 @@
     :param leaving: whether the node is shutting down.
     :param reads_store: whether the node has no failing access to the metadata store.
     :param lost_services: services whose servers other nodes reach, but this node does not.
+    :param evacuated: the failure domains that are evacuated as far as the node knows; ``None``
+        from builds without evacuations.
     """
 
     vm_id: str
@@ -50,6 +52,7 @@
     leaving: bool = False
     reads_store: bool = True
     lost_services: list[str] = []
+    evacuated: list[str] | None = None
 
 
 class NodeStatus(enum.Enum):
--- a/src/jasmineseam/membership/registry.py
+++ b/src/jasmineseam/membership/registry.py
@@ -109,10 +109,12 @@
         "_clock",
         "_confirmed_at",
         "_departures",
+        "_evacuated_services",
         "_on_change",
         "_outage_ended_at",
         "_registered",
         "_stale_versions",
+        "evacuated",
         "loaded",
         "position",
     )
@@ -126,6 +128,10 @@
         self._stale_versions: dict[str, tuple[int, int]] = {}
         # removed listings and leaving servers with the time of their record, by server id
         self._departures: dict[str, tuple[Departure, float]] = {}
+        # failure domains whose servers receive no requests
+        self.evacuated: frozenset[str] = frozenset()
+        # services that have servers in evacuated failure domains only
+        self._evacuated_services: set[str] = set()
         self._confirmed_at = clock()
         self._outage_ended_at = float("-inf")
         self.loaded = False
@@ -227,6 +233,16 @@
         )
         self._rebuild_index()
 
+    def set_evacuated(self, failure_domains: frozenset[str]) -> None:
+        """Set the failure domains whose servers receive no requests."""
+        if failure_domains != self.evacuated:
+            self.evacuated = failure_domains
+            self._rebuild_index()
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether all servers of a service are in evacuated failure domains."""
+        return service in self._evacuated_services
+
     def add_departure(self, departure: Departure) -> bool:
         """Record that a server is leaving or was removed; return whether this was new.
 
@@ -367,6 +383,7 @@
 
     def _rebuild_index(self) -> None:
         by_service: dict[str, list[RegisteredServer]] = {}
+        evacuated_services = set()
         for server_id, registered in self._registered.items():
             if registered.server.leaving:
                 continue
@@ -378,8 +395,12 @@
                 if (registered.listing.started_ms, registered.listing.sequence) <= stale_version:
                     continue
                 del self._stale_versions[server_id]
+            if registered.server.failure_domain in self.evacuated:
+                evacuated_services.add(registered.server.service)
+                continue
             by_service.setdefault(registered.server.service, []).append(registered)
         self._by_service = by_service
+        self._evacuated_services = evacuated_services - by_service.keys()
         self._on_change()
 
 
--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -52,6 +52,9 @@
 # MIN_LATENCY_TARGET_S.
 MIN_LATENCY_TARGET_SERVICE_TIME_FACTOR = 1.5
 MIN_LATENCY_TARGET_S = 0.15
+# Retry-After time of a request whose service has servers in evacuated failure domains only. An
+# evacuation lasts longer, but callers with less time left than this could not use its end.
+EVACUATED_RETRY_AFTER_S = 1.0
 
 
 class AttemptRunner:
@@ -74,6 +77,7 @@
         retry_limits: RetryBudgetSettings,
         record_server_state: t.Callable[[ServerLoad, ResponseHead, float], None],
     ) -> None:
+        self._registry = registry
         self._dispatchers = dispatchers
         self._retry_limits = retry_limits
         self._retry_budgets: dict[str, SlidingWindowRetryBudget] = {}
@@ -120,6 +124,8 @@
         :raises UnknownOutcomeError: if a server may have run the request, but there is no response
             that may be forwarded to the caller.
         """
+        if self._registry.is_evacuated(service):
+            raise NotRunError("evacuated", 503, EVACUATED_RETRY_AFTER_S)
         proxied.dispatcher = self._dispatchers.get(service)
         proxied.service_time_s = proxied.dispatcher.get_service_time_s(proxied.route.name)
         budget = self._get_retry_budget(service)
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -42,6 +42,7 @@
 from ..routing.routes import RoutingTable
 from .endpoints import EndpointConfig
 from .endpoints import NodeEndpoints
+from .evacuation_notices import EvacuationNotices
 from .fleet_notices import FleetNotices
 from .gateway import Gateway
 from .listeners import HttpListeners
@@ -139,6 +140,9 @@
             record=self.gateway.record_relayed,
         )
         self._notices = FleetNotices(gateway=self.gateway, registry=self.registry)
+        self.evacuation_notices = EvacuationNotices(gateway=self.gateway, registry=self.registry)
+        # whether this node has once had all the state that it needs to accept requests
+        self._complete = False
         self.gateway.on_server_leaving = self._notices.report_departure
         self.gateway.on_request_limit = self._notices.report_request_limit
         self.gateway.dispatchers.list_share_candidates = self._notices.list_share_candidates
@@ -154,6 +158,8 @@
             apply_table=self._apply_routing_table,
             add_request_limits=self._notices.add_request_limits,
             add_crashes=self._notices.add_crashes,
+            evacuations=self.evacuation_notices.evacuations,
+            apply_evacuations=self.evacuation_notices.add,
         )
         self.fleet = Fleet(
             own=NodeInfo(
@@ -163,6 +169,7 @@
                 entry_address=settings.listeners.entry,
                 notice_address=settings.listeners.notices,
                 peer_address=settings.listeners.peers,
+                evacuated=[],
             ),
             contacts=settings.seed_peers,
             send=self.datagrams.send,
@@ -174,18 +181,26 @@
                 add_crashes=self._notices.add_crashes,
                 apply_servers=self.state_sync.apply_notice,
                 on_nodes_changed=self._apply_node_count,
+                apply_evacuations=self.evacuation_notices.add,
             ),
             clock=time.monotonic,
             rng=random.Random(),
         )
-        self._notices.fleet = self.fleet
+        self._notices.fleet = self.evacuation_notices.fleet = self.fleet
 
     @property
     def ready(self) -> bool:
-        """Whether this node accepts requests of callers."""
-        return (
-            self.gateway.routing_table is not None and self.registry.loaded and not self._leaving
-        )
+        """Whether this node accepts requests of callers.
+
+        A node that has just started waits for evacuations that another node has announced.
+        """
+        if not self._complete:
+            self._complete = (
+                self.gateway.routing_table is not None
+                and self.registry.loaded
+                and not self.state_sync.lacks_evacuations()
+            )
+        return self._complete and not self._leaving
 
     async def on_start(self) -> None:
         """Start the listeners and the tasks that track the store, the peers and server load."""
@@ -205,6 +220,7 @@
                 vm_id=self.settings.vm.id, peer_address=self.settings.listeners.notices
             ),
             first_start=self.settings.first_start,
+            on_evacuations=self.evacuation_notices.report,
         )
         self.prober = LoadProber(
             gateway=self.gateway,
@@ -235,6 +251,7 @@
             registry=self.registry,
             request_log=self.request_log,
             output=self._output,
+            evacuations=self.evacuation_notices.evacuations,
         )
 
     async def handle_message(self, message: Message) -> Message:
@@ -319,6 +336,7 @@
             "table_version": -1 if table is None else table.version,
             "servers": self.registry.count_usable(),
             "servers_age_s": round(self.registry.get_list_age_s(), 3),
+            "evacuations": self.evacuation_notices.describe(),
             "in_flight": self.gateway.in_flight,
             "request_shares": self.gateway.dispatchers.get_request_shares(),
             "relayed": dict(self.relay_client.outcome_counts),
@@ -434,6 +452,7 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._apply_node_count()
             self.gateway.dispatchers.follow_share_candidates()
+            self.evacuation_notices.maintain()
             self.fleet.update_own(ready=self.ready, leaving=self._leaving)
             self.state_sync.close_idle_connections()
             self.gateway.dispatchers.expire_borrowed()
--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -233,6 +233,11 @@
         dispatcher.average_slowness.record_slowness(report.slowness)
         return True
 
+    def place_queued_requests(self) -> None:
+        """Place or refuse the queued requests after a change of the servers in use."""
+        for dispatcher in self.list_all():
+            dispatcher.place_queued_requests()
+
     def refresh_servers(self, services: t.Iterable[str]) -> None:
         """Update the dispatchers from the server registry.
 
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -4,6 +4,7 @@
 
 from opentelemetry.sdk.metrics import MeterProvider
 
+from ..membership.evacuations import Evacuations
 from ..membership.registry import ServerRegistry
 from ..operations.metrics import add_counter
 from ..operations.metrics import add_gauge
@@ -28,6 +29,7 @@
     registry: ServerRegistry,
     request_log: RequestLog,
     output: LineOutput,
+    evacuations: Evacuations,
 ) -> None:
     """Register the counters, gauges and the duration histogram of a node.
 
@@ -84,6 +86,21 @@
             for server_id, requests_per_s in gateway.dispatchers.get_request_shares().items()
         ]
 
+    def read_evacuations():
+        return [
+            (
+                evacuations.get_since(failure_domain).offset,
+                {
+                    "failure_domain": failure_domain,
+                    "timeline": evacuations.get_since(failure_domain).timeline,
+                },
+            )
+            for failure_domain in evacuations.failure_domains
+        ]
+
+    def read_evacuations_position():
+        return [(evacuations.state.position.offset, {})]
+
     def read_quarantined():
         return [(gateway.attempts.quarantine.count_quarantined(), {})]
 
@@ -112,6 +129,10 @@
         "Part of the limit that this node may use.",
         read_request_shares,
     )
+    add_gauge(provider, "evacuations", "1", "Offset since which.", read_evacuations)
+    add_gauge(
+        provider, "evacuations.position", "1", "Offset read up to.", read_evacuations_position
+    )
     add_gauge(provider, "requests.quarantined", "1", "They crash servers.", read_quarantined)
     add_counter(provider, "crashes", "1", "Of servers under requests of this node.", read_crashes)
     add_gauge(provider, "paths.lost", "1", "Services out of reach.", read_lost_paths)
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -12,6 +12,7 @@
 from ..catalogue.records import CatalogueSnapshot
 from ..catalogue.records import EntryState
 from ..exceptions import InvalidMessageError
+from ..membership.evacuations import EvacuationState
 from ..membership.nodes import NodeInfo
 from ..membership.registry import Departure
 from ..membership.registry import ServerChange
@@ -219,6 +220,9 @@
         milliseconds; -1 if the node has no list.
     :param notices_hash: hash over the listed servers that have reported their departure, the
         limits that servers name and the crashes of servers under requests.
+    :param evacuations_position: store position up to which the node knows the evacuations;
+        builds without evacuations send none.
+    :param evacuations_hash: hash over the evacuated failure domains, 0 for none.
     """
 
     nodes_hash: int
@@ -226,6 +230,8 @@
     servers_position: StorePosition
     servers_age_ms: t.Annotated[int, msgspec.Meta(ge=-1, le=2**31)]
     notices_hash: int = 0
+    evacuations_position: StorePosition = UNKNOWN_POSITION
+    evacuations_hash: int = 0
 
 
 class FleetMessage(Message):
@@ -300,6 +306,7 @@
     :param departures: servers that are leaving, according to their own responses.
     :param request_limits: limits that servers have named, moved or withdrawn.
     :param crashes: crashes of servers under requests.
+    :param evacuations: the evacuated failure domains, ``None`` if they have not changed.
     """
 
     nodes: list[NodeInfo] = []
@@ -308,6 +315,7 @@
     servers: ServersNotice | None = None
     request_limits: list[RequestLimit] = []
     crashes: list[CrashReport] = []
+    evacuations: EvacuationState | None = None
 
 
 class StateRequest(Message, tag="state-request"):
@@ -333,6 +341,7 @@
     :param departures: servers that have left or are leaving.
     :param request_limits: limits that servers name or have withdrawn lately.
     :param crashes: crashes of servers under requests.
+    :param evacuations: the evacuated failure domains; ``None`` from builds without evacuations.
     """
 
     table: bytes = b""
@@ -343,6 +352,7 @@
     departures: list[Departure] = []
     request_limits: list[RequestLimit] = []
     crashes: list[CrashReport] = []
+    evacuations: EvacuationState | None = None
 
 
 class RelayedRequest(Message, tag="relayed-request"):
--- a/src/jasmineseam/platform/metadata_store.py
+++ b/src/jasmineseam/platform/metadata_store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing as t
+
 import logbook
 import msgspec
 
@@ -15,10 +17,12 @@
 from .records import CONFIGURATION_TOPIC
 from .records import NODES_TOPIC
 from .records import SERVERS_TOPIC
+from .records import decode_evacuations
 from .records import decode_listing
 from .records import decode_routing_table
 from .records import decode_server_change
 from .store_client import KeyedRecord
+from .store_client import RecordBatch
 from .store_client import StoreClient
 
 _logger = logbook.Logger("platform")
@@ -38,27 +42,29 @@
     async def read_routing_table(self) -> RoutingTableRead:
         """Return the latest routing table, ``None`` if the store holds none.
 
-        :raises InvalidRecordError: if the record of the routing table is invalid.
         :raises StoreUnavailableError: if a call fails.
         """
         batch = await self._client.read_latest(CONFIGURATION_TOPIC)
-        return RoutingTableRead(_find_routing_table(batch.records), batch.end)
+        return _decode_configuration(batch, {})
 
     async def wait_for_routing_table(
-        self, position: StorePosition, wait_s: float
+        self,
+        position: StorePosition,
+        wait_s: float,
+        failure_domains: t.Mapping[str, StorePosition],
     ) -> RoutingTableRead:
-        """Wait for a routing table written at or after a position.
+        """Wait for a routing table or an evacuation written at or after a position.
 
         The table is ``None`` if none was written within *wait_s*.
 
         :param wait_s: maximum time that the store waits for a new record, in seconds.
-        :raises InvalidRecordError: if the record of the routing table is invalid.
+        :param failure_domains: the failure domains that are evacuated as of the position.
         :raises RecordsTrimmedError: if the store doesn't hold the records at the position.
         :raises StoreRestoredError: if the store was restored since the position was read.
         :raises StoreUnavailableError: if the call fails.
         """
         batch = await self._client.read_from(CONFIGURATION_TOPIC, position, wait_s)
-        return RoutingTableRead(_find_routing_table(batch.records), batch.end)
+        return _decode_configuration(batch, failure_domains)
 
     async def read_servers(self) -> tuple[list[ServerListing], StorePosition]:
         """Return the listings of all servers with a valid record and the next position to read."""
@@ -114,6 +120,18 @@
         _logger.warning("Treating invalid record in the metadata store as removed: {}", error)
 
 
+def _decode_configuration(
+    batch: RecordBatch, known: t.Mapping[str, StorePosition]
+) -> RoutingTableRead:
+    """Decode the routing table and the evacuations, neither of which hides the other."""
+    evacuations = decode_evacuations(batch.records, batch.end, known)
+    try:
+        table = _find_routing_table(batch.records)
+    except InvalidRecordError as error:
+        return RoutingTableRead(None, batch.end, evacuations, error)
+    return RoutingTableRead(table, batch.end, evacuations)
+
+
 def _find_routing_table(records: list[KeyedRecord]):
     for record in reversed(records):
         if record.key == CONFIGURATION_KEY and record.value:
--- a/src/jasmineseam/platform/records.py
+++ b/src/jasmineseam/platform/records.py
@@ -8,9 +8,11 @@
 import msgspec
 
 from ..exceptions import InvalidRecordError
+from ..membership.evacuations import EvacuationState
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerListing
 from ..membership.servers import Server
+from ..membership.store_position import StorePosition
 from ..routing.routes import CallerLimits
 from ..routing.routes import ClientAccount
 from ..routing.routes import Route
@@ -23,6 +25,8 @@
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
+# followed by the name of a failure domain
+EVACUATION_KEY_PREFIX = "evacuate/"
 SERVERS_TOPIC = "keyed.servers"
 NODES_TOPIC = "keyed.nodes"
 
@@ -162,6 +166,32 @@
         raise InvalidRecordError(CONFIGURATION_KEY, str(error)) from error
 
 
+def decode_evacuations(
+    records: list[KeyedRecord], end: StorePosition, known: t.Mapping[str, StorePosition]
+) -> EvacuationState:
+    """Apply records of evacuations to the evacuated failure domains before them.
+
+    Any value evacuates the domain; its content has no meaning yet, and an evacuation must not be
+    missed because of it.
+
+    :param end: store position after the records.
+    :param known: the evacuated domains before the records, empty for a complete read.
+    """
+    failure_domains = dict(known)
+    withdrawn = {}
+    for record in records:
+        failure_domain = record.key.removeprefix(EVACUATION_KEY_PREFIX)
+        if failure_domain in ("", record.key):
+            continue
+        if record.value:
+            failure_domains.setdefault(failure_domain, end)
+            withdrawn.pop(failure_domain, None)
+            continue
+        failure_domains.pop(failure_domain, None)
+        withdrawn[failure_domain] = end
+    return EvacuationState(position=end, failure_domains=failure_domains, withdrawn=withdrawn)
+
+
 def decode_listing(record: KeyedRecord) -> ServerListing:
     """Decode a backend server's record.
 
