--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -257,6 +257,11 @@
         self._service_times.retain_routes(route_names)
         self.transfer_prices.retain_routes(route_names)
 
+    def place_queued_requests(self) -> None:
+        """Place or refuse the queued requests after a change of the servers in use."""
+        for dispatcher in self.list_all():
+            dispatcher.place_queued_requests()
+
     def refresh_servers(self, services: t.Iterable[str]) -> None:
         """Update the dispatchers from the server registry.
 
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -12,6 +12,7 @@
 from ..catalogue.records import CatalogueSnapshot
 from ..catalogue.records import EntryState
 from ..exceptions import InvalidMessageError
+from ..membership.evacuations import EvacuationState
 from ..membership.nodes import NodeInfo
 from ..membership.registry import Departure
 from ..membership.registry import ServerChange
@@ -221,6 +222,9 @@
         limits that servers name and the crashes of servers under requests.
     :param table_age_ms: time since a read of the store confirmed that there is no newer routing
         table, in milliseconds; the largest value if none did, -1 from nodes of earlier builds.
+    :param evacuations_position: store position up to which the node knows the evacuations;
+        builds without evacuations send none.
+    :param evacuations_hash: hash over the evacuated failure domains, 0 for none.
     """
 
     nodes_hash: int
@@ -229,6 +233,8 @@
     servers_age_ms: t.Annotated[int, msgspec.Meta(ge=-1, le=2**31)]
     notices_hash: int = 0
     table_age_ms: t.Annotated[int, msgspec.Meta(ge=-1, le=2**31)] = -1
+    evacuations_position: StorePosition = UNKNOWN_POSITION
+    evacuations_hash: int = 0
 
 
 class FleetMessage(Message):
@@ -303,6 +309,7 @@
     :param departures: servers that are leaving, according to their own responses.
     :param request_limits: limits that servers have named, moved or withdrawn.
     :param crashes: crashes of servers under requests.
+    :param evacuations: the evacuated failure domains, ``None`` if they have not changed.
     """
 
     nodes: list[NodeInfo] = []
@@ -311,6 +318,7 @@
     servers: ServersNotice | None = None
     request_limits: list[RequestLimit] = []
     crashes: list[CrashReport] = []
+    evacuations: EvacuationState | None = None
 
 
 class StateRequest(Message, tag="state-request"):
@@ -336,6 +344,7 @@
     :param departures: servers that have left or are leaving.
     :param request_limits: limits that servers name or have withdrawn lately.
     :param crashes: crashes of servers under requests.
+    :param evacuations: the evacuated failure domains; ``None`` from builds without evacuations.
     """
 
     table: bytes = b""
@@ -346,6 +355,7 @@
     departures: list[Departure] = []
     request_limits: list[RequestLimit] = []
     crashes: list[CrashReport] = []
+    evacuations: EvacuationState | None = None
 
 
 class RelayedRequest(Message, tag="relayed-request"):
