Share the probes of a server by demand

A node could probe a server once in (users of the server) / (0.8 x probes-per-s) seconds, which is 3.3 s for 110 nodes, while most of these shares were unused.

The limit is now divided into a part that is shared equally and a part that one node in each failure domain grants for a service, with the newest reports that it knows. The more probes the equal shares allow, the smaller is the part that is granted. The borrowed servers count against the limit as well.

--- a/src/jasmineseam/membership/nodes.py
+++ b/src/jasmineseam/membership/nodes.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import typing as t
 
@@ -22,6 +23,10 @@
 # Versions are Unix times in milliseconds with a few increments, far below this. A state with a
 # higher version is malformed.
 MAX_VERSION = 2**53
+# value of ``NodeInfo.message_kinds`` from which a node understands messages about probes
+PROBE_MESSAGE_KINDS = 1
+# value that this build publishes
+OWN_MESSAGE_KINDS = 1
 # Nodes are divided into this many groups, whose states are compared between two nodes.
 DIGEST_GROUP_COUNT = 16
 
@@ -38,6 +43,8 @@
     :param leaving: whether the node is shutting down.
     :param reads_store: whether the node has no failing access to the metadata store.
     :param lost_services: services whose servers other nodes reach, but this node does not.
+    :param message_kinds: counts the extensions of the messages between nodes; a node is sent only
+        messages that it understands. Nodes of builds before the first extension have 0.
     """
 
     vm_id: str
@@ -50,6 +57,7 @@
     leaving: bool = False
     reads_store: bool = True
     lost_services: list[str] = []
+    message_kinds: int = 0
 
 
 class NodeStatus(enum.Enum):
@@ -134,6 +142,10 @@
         new = self.apply(info)
         member = self._members.get(info.vm_id)
         if member is not None and info.version == member.info.version:
+            # A node of an earlier build passes on states without fields that it doesn't know.
+            if info.message_kinds > member.info.message_kinds:
+                member.info = info
+                self.state_changes += 1
             self._set_status(member, NodeStatus.ALIVE)
         return new
 
@@ -230,6 +242,28 @@
             count += 1
         return max(1, int(count))
 
+    def count_by_domain(self) -> dict[str, int]:
+        """Return the number of nodes of each failure domain that share the fleet's limits.
+
+        The nodes are those of :meth:`count`.
+        """
+        now = self._clock()
+        counts: collections.Counter[str] = collections.Counter([self.own.failure_domain])
+        for member in self._members.values():
+            failed = member.status == NodeStatus.FAILED
+            if member.info.leaving or (failed and now - member.status_at >= FAILED_RETENTION_S):
+                continue
+            counts[member.info.failure_domain] += 1
+        return dict(counts)
+
+    def count_reachable(self, failure_domain: str) -> int:
+        """Return the number of nodes of a failure domain that answer, including this node."""
+        count = int(failure_domain == self.own.failure_domain)
+        for member in self._members.values():
+            alive = member.status == NodeStatus.ALIVE and not member.info.leaving
+            count += alive and member.info.failure_domain == failure_domain
+        return count
+
     def compute_digests(self) -> list[int]:
         """Return one hash per group of nodes, over the versions of alive nodes' states."""
         version = (self.state_changes, self.own.version)
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -23,6 +23,7 @@
 from ..fleet.store_protocol import NodeRecord
 from ..fleet.store_watcher import MAX_CHANGES_PER_NOTICE
 from ..fleet.store_watcher import StoreWatcher
+from ..membership.nodes import OWN_MESSAGE_KINDS
 from ..membership.nodes import NodeInfo
 from ..membership.registry import ServerRegistry
 from ..operations.daemon import Daemon
@@ -48,6 +49,7 @@
 from .load_prober import LoadProber
 from .metrics import add_node_metrics
 from .path_checker import PathChecker
+from .probe_grants import ProbeGrants
 from .relays import RelayClient
 from .relays import RelayServer
 
@@ -163,6 +165,7 @@
                 entry_address=settings.listeners.entry,
                 notice_address=settings.listeners.notices,
                 peer_address=settings.listeners.peers,
+                message_kinds=OWN_MESSAGE_KINDS,
             ),
             contacts=settings.seed_peers,
             send=self.datagrams.send,
@@ -179,6 +182,13 @@
             rng=random.Random(),
         )
         self._notices.fleet = self.fleet
+        self.probe_grants = ProbeGrants(
+            membership=self.fleet.membership,
+            registry=self.registry,
+            dispatchers=self.gateway.dispatchers,
+            get_limit=lambda: self.settings.probes_per_s,
+            send=self.datagrams.send,
+        )
 
     @property
     def ready(self) -> bool:
@@ -211,6 +221,7 @@
             header_codec=self._header_codec,
             options=self.options.probes,
             max_probes_per_s=self.settings.probes_per_s,
+            grants=self.probe_grants,
         )
         self.gateway.attempts.refresh_loads = self.prober.refresh_loads
         self.path_checker.probe = self.prober.send_probe
@@ -271,6 +282,8 @@
     def _handle_datagram(self, message: Message) -> None:
         if isinstance(message, FleetMessage):
             self.fleet.handle(message)
+        else:
+            self.probe_grants.handle(message)
 
     async def stop_gracefully(self) -> None:
         """Announce the stop to the peers, stop listening, and wait for running requests to finish.
@@ -344,7 +357,12 @@
                 }
                 for dispatcher in self.gateway.dispatchers.list_all()
             },
-            "probes": {"sent": self.prober.sent_count, "failed": self.prober.failed_count},
+            "probes": {
+                "sent": self.prober.sent_count,
+                "failed": self.prober.failed_count,
+                "granted_services": self.probe_grants.list_owned(),
+                "grants": dict(self.probe_grants.result_counts),
+            },
         }
 
     def _list_relay_candidates(self, service: str) -> list[NodeInfo]:
@@ -406,6 +424,7 @@
         self.gateway.dispatchers.set_node_counts(
             membership.count(), membership.count(self.settings.vm.failure_domain)
         )
+        self.probe_grants.refresh()
 
     async def _run_supervised(self, run_forever: t.Callable[[], t.Awaitable[None]]) -> None:
         """Run a background task, and start it again after an unexpected error.
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -69,6 +69,7 @@
         request_log: RequestLog,
         caller_round_trip_s: float = 0.0,
     ) -> None:
+        self.node_id = node_id
         self._caller_round_trip_s = caller_round_trip_s
         self._header_codec = header_codec
         self._request_log = request_log
--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -23,9 +23,11 @@
 from ..routing.dispatch import Dispatcher
 from ..routing.dispatch import PlacementRequest
 from ..routing.load import ServerLoad
+from ..routing.probe_budget import OwnProbes
 from ..routing.request_shares import PROBES_PER_S
 from ..transport.response_memory import ResponseMemory
 from .gateway import Gateway
+from .probe_grants import ProbeGrants
 
 PROBE_TIMEOUT_S = 0.5
 MAX_PROBE_BODY_BYTES = 65_536
@@ -35,8 +37,9 @@
 QUEUE_PROBE_INTERVAL_S = 0.02
 # A younger report is not refreshed.
 MIN_REPORT_AGE_S = 0.01
-# Part of the limit on probes to a server that the nodes use; their number is only an estimate.
-USABLE_LIMIT_FRACTION = 0.8
+# While a request waits, the owner is asked only for servers with older reports, in seconds. It
+# is asked again before the reports are too old for a placement.
+MIN_ASK_REPORT_AGE_S = 0.03
 # A probe without a response after this time puts the path to the service in doubt, in seconds.
 SILENCE_S = 0.1
 # longest time that a request waits for a sign of life, in which the path is checked
@@ -54,6 +57,7 @@
     :param header_codec: decodes the response headers of servers.
     :param options: how many servers are probed, and how long a request waits for their reports.
     :param max_probes_per_s: maximum probes per second that one server may receive from all nodes.
+    :param grants: shares that limit among the nodes.
     """
 
     def __init__(
@@ -63,15 +67,20 @@
         header_codec: HeaderCodec,
         options: ProbeOptions,
         max_probes_per_s: float,
+        grants: ProbeGrants,
     ) -> None:
         self._gateway = gateway
         self._header_codec = header_codec
         self._options = options
+        self._grants = grants
+        self._own_probes = OwnProbes(node_id=gateway.node_id)
         self.max_probes_per_s = max_probes_per_s
         self._response_memory = ResponseMemory(max_bytes=MAX_PROBE_MEMORY_BYTES)
         self._probe_tasks: dict[str, asyncio.Task] = {}
         # tasks that probe for waiting requests, by service
         self._queue_tasks: dict[str, asyncio.Task] = {}
+        # tasks that ask for probes
+        self._grant_tasks: set[asyncio.Task] = set()
         self._rng = random.Random()
         self.sent_count = 0
         self.failed_count = 0
@@ -90,10 +99,9 @@
             await self._wait_for_sign_of_life(dispatcher, started_at)
         if dispatcher.has_suitable_server(request):
             return
-        borrowed = self._gateway.dispatchers.borrow_servers(
-            dispatcher, self._options.per_placement
-        )
-        await self._probe_all(dispatcher, borrowed)
+        count = self._options.per_placement
+        borrowed = self._gateway.dispatchers.borrow_servers(dispatcher, count)
+        await self._obtain_reports(dispatcher, borrowed, count)
 
     async def _wait_for_sign_of_life(self, dispatcher: Dispatcher, since: float) -> None:
         path = dispatcher.path
@@ -119,41 +127,91 @@
             if not dispatcher.count_queued():
                 return
             borrowed = self._gateway.dispatchers.borrow_servers(dispatcher, 1)
-            await self._probe_all(dispatcher, borrowed)
+            await self._obtain_reports(dispatcher, borrowed, 1)
 
     async def _probe_sample(self, dispatcher: Dispatcher, excluded_ids: set[str]) -> None:
         now = time.monotonic()
-        candidates = [
+        available = [
             load
             for load in dispatcher.loads.values()
-            if load.server_id not in excluded_ids
-            and now >= load.get_available_at(now)
-            and now - load.reported_at > MIN_REPORT_AGE_S
-            and now - load.last_probe_at >= self._compute_min_interval_s(dispatcher, load)
+            if load.server_id not in excluded_ids and now >= load.get_available_at(now)
+        ]
+        candidates = [
+            load
+            for load in available
+            if now - load.reported_at > MIN_REPORT_AGE_S
             and load.server_id not in self._probe_tasks
         ]
-        count = min(self._options.per_placement, len(candidates))
-        await self._probe_all(dispatcher, self._rng.sample(candidates, count))
+        self._rng.shuffle(candidates)
+        fresh_count = sum(now - load.reported_at <= MIN_ASK_REPORT_AGE_S for load in available)
+        await self._obtain_reports(
+            dispatcher, candidates, self._options.per_placement, fresh_count=fresh_count
+        )
+
+    async def _obtain_reports(
+        self, dispatcher: Dispatcher, loads: list[ServerLoad], count: int, *, fresh_count: int = 0
+    ) -> None:
+        """Obtain reports of some of the given servers, the first of them by preference.
 
-    async def _probe_all(self, dispatcher: Dispatcher, loads: list[ServerLoad]) -> None:
+        Servers are probed within this node's own share of the probes. If that yields too few
+        reports, the owner of the service is asked.
+
+        :param fresh_count: number of servers that need no report.
+        """
         if not loads or self.max_probes_per_s <= 0.0:
             return
-        tasks = [self._start_probe(dispatcher, load) for load in loads]
-        await asyncio.wait(tasks, timeout=self._options.wait_s)
+        now = time.monotonic()
+        chosen: list[ServerLoad] = []
+        others: list[ServerLoad] = []
+        for load in loads:
+            if len(chosen) < count and self._may_probe_unasked(dispatcher, load, now):
+                chosen.append(load)
+            elif load.request_bucket is None and now - load.reported_at > MIN_ASK_REPORT_AGE_S:
+                others.append(load)
+        tasks = [self._start_probe(dispatcher, load) for load in chosen]
+        missing_count = count - len(chosen) - fresh_count
+        if missing_count > 0 and others:
+            request = self._grants.request(
+                dispatcher,
+                others,
+                missing_count,
+                lambda granted: self._probe_granted(dispatcher, granted),
+            )
+            task = asyncio.create_task(request)
+            self._grant_tasks.add(task)
+            task.add_done_callback(self._grant_tasks.discard)
+            if not self._grants.is_silent(dispatcher.service):
+                tasks.append(task)
+        if tasks:
+            await asyncio.wait(tasks, timeout=self._options.wait_s)
+
+    async def _probe_granted(self, dispatcher: Dispatcher, loads: list[ServerLoad]) -> None:
+        """Probe servers whose probes were granted, and wait for the reports."""
+        now = time.monotonic()
+        tasks = [
+            self._start_probe(dispatcher, load)
+            for load in loads
+            if load.server_id not in self._probe_tasks and now >= load.get_available_at(now)
+        ]
+        if tasks:
+            await asyncio.wait(tasks, timeout=self._options.wait_s)
 
-    def _compute_min_interval_s(self, dispatcher: Dispatcher, load: ServerLoad) -> float:
-        """Return the least interval between two probes of a server by this node, in seconds.
+    def _may_probe_unasked(self, dispatcher: Dispatcher, load: ServerLoad, now: float) -> bool:
+        """Return whether this node may probe a server within its own share of the probes.
 
-        With it, the nodes that use the same servers stay within the limit together. A server that
-        names a limit on requests gets few probes, too.
+        A server that names a limit on requests gets few probes, too.
         """
         if load.request_bucket is not None:
-            return load.request_bucket.share.node_count / PROBES_PER_S
-        limit_per_s = max(0.001, USABLE_LIMIT_FRACTION * self.max_probes_per_s)
-        return dispatcher.node_count / limit_per_s
+            interval_s = load.request_bucket.share.node_count / PROBES_PER_S
+            return now - load.last_probe_at >= interval_s
+        share = self._grants.get_share(dispatcher.service, load.failure_domain)
+        in_subset = load.borrowed_until is None
+        probes_per_s = share.own_per_s if in_subset else share.borrower_per_s
+        return self._own_probes.may_probe(load.server_id, probes_per_s, now)
 
     def _start_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> asyncio.Task:
         load.last_probe_at = time.monotonic()
+        self._own_probes.record_probe(load.server_id, load.last_probe_at)
         task = asyncio.create_task(self._run_probe(dispatcher, load))
         self._probe_tasks[load.server_id] = task
         task.add_done_callback(lambda _, key=load.server_id: self._probe_tasks.pop(key, None))
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -30,6 +30,8 @@
 from ..routing.routes import Route
 
 PROTOCOL_VERSION = 1
+# servers in one message about probes, so that it fits into a datagram
+MAX_PROBE_SERVERS = 16
 
 
 class Message(msgspec.Struct, kw_only=True, tag_field="type"):
@@ -404,6 +406,71 @@
     relay_id: str
 
 
+class SharedLoad(msgspec.Struct, array_like=True, frozen=True):
+    """A load report that a node passes on.
+
+    :param age_ms: time since the report was received from the server, in milliseconds.
+    :param slowness: see :class:`DetailedLoadReport`.
+    """
+
+    server_id: str
+    age_ms: t.Annotated[float, msgspec.Meta(ge=0.0, le=60_000.0)]
+    running: t.Annotated[int, msgspec.Meta(ge=0, le=10**6)]
+    waiting: t.Annotated[int, msgspec.Meta(ge=0, le=10**6)]
+    slots: t.Annotated[int, msgspec.Meta(ge=0, le=10**6)]
+    slowness: t.Annotated[float, msgspec.Meta(ge=0.0, le=10**6)]
+
+
+class ProbeRequest(Message, tag="probe-request"):
+    """Requests load reports of servers, or probes of them, for a request that waits.
+
+    It is sent to the node that grants the probes of the service in the sender's failure domain.
+
+    :param sender_id: VM of the node that has sent the datagram.
+    :param number: number of the request, which the reply repeats.
+    :param server_ids: servers in the order of preference.
+    :param count: number of reports that are needed.
+    """
+
+    sender_id: str
+    number: int
+    service: str
+    server_ids: t.Annotated[list[str], msgspec.Meta(max_length=MAX_PROBE_SERVERS)]
+    count: t.Annotated[int, msgspec.Meta(ge=0, le=MAX_PROBE_SERVERS)]
+
+
+class ProbeGrant(Message, tag="probe-grant"):
+    """Answers a :class:`ProbeRequest`; a second one may follow with reports that were awaited.
+
+    :param server_ids: servers that the receiver may probe once, at once.
+    :param loads: reports that the sender knows.
+    :param awaited: whether another answer with reports is expected to follow.
+    :param shares_reports: whether the sender wants the reports of the granted probes.
+    """
+
+    sender_id: str
+    number: int
+    server_ids: list[str] = []
+    loads: list[SharedLoad] = []
+    awaited: bool = False
+    shares_reports: bool = False
+
+
+class ProbeReports(Message, tag="probe-reports"):
+    """Passes on the reports of granted probes.
+
+    It is sent to the node that granted the probes, which forwards it once to the nodes that grant
+    the probes of the service in the other failure domains.
+
+    :param forwarded: whether the sender grants the probes itself.
+    """
+
+    sender_id: str
+    service: str
+    loads: t.Annotated[list[SharedLoad], msgspec.Meta(max_length=MAX_PROBE_SERVERS)]
+    forwarded: bool = False
+
+
 class DumpRequest(Message, tag="dump-request"):
     """Requests the state of a process."""
 
@@ -445,6 +512,9 @@
     | RelayedRequest
     | RelayedResponse
     | RelayCancellation
+    | ProbeRequest
+    | ProbeGrant
+    | ProbeReports
     | DumpRequest
     | DumpReply
     | RefusedReply
--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -512,6 +512,7 @@
             header_codec=HEADER_CODEC,
             options=OPTIONS.probes,
             max_probes_per_s=settings.probes_per_s,
+            grants=node.probe_grants,
         )
         node.gateway.attempts.refresh_loads = node.prober.refresh_loads
         node.path_checker.probe = node.prober.send_probe
