Send at most one request for probes per placement; count earlier builds

Servers outside of the subset are part of the same request if such servers were needed within the last second, and waiting requests ask once per 40 ms. Nodes of earlier builds are sent no messages about probes, and owners leave them their equal share.

--- a/src/jasmineseam/membership/nodes.py
+++ b/src/jasmineseam/membership/nodes.py
@@ -256,13 +256,21 @@
             counts[member.info.failure_domain] += 1
         return dict(counts)
 
-    def count_reachable(self, failure_domain: str) -> int:
-        """Return the number of nodes of a failure domain that answer, including this node."""
-        count = int(failure_domain == self.own.failure_domain)
-        for member in self._members.values():
-            alive = member.status == NodeStatus.ALIVE and not member.info.leaving
-            count += alive and member.info.failure_domain == failure_domain
-        return count
+    def count_reachable(self, failure_domain: str, *, message_kinds: int = 0) -> int:
+        """Return the number of nodes of a failure domain that answer, including this node.
+
+        :param message_kinds: smallest value of the nodes' ``message_kinds``.
+        """
+        nodes = [self.own]
+        nodes += [
+            member.info
+            for member in self._members.values()
+            if member.status == NodeStatus.ALIVE and not member.info.leaving
+        ]
+        return sum(
+            info.failure_domain == failure_domain and info.message_kinds >= message_kinds
+            for info in nodes
+        )
 
     def compute_digests(self) -> list[int]:
         """Return one hash per group of nodes, over the versions of alive nodes' states."""
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -241,6 +241,7 @@
             self.meter_provider,
             gateway=self.gateway,
             prober=self.prober,
+            probe_grants=self.probe_grants,
             path_checker=self.path_checker,
             relay_client=self.relay_client,
             registry=self.registry,
--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -40,6 +40,11 @@
 # While a request waits, the owner is asked only for servers with older reports, in seconds. It
 # is asked again before the reports are too old for a placement.
 MIN_ASK_REPORT_AGE_S = 0.03
+# least interval between two requests to the owner for requests that wait for a server, in seconds
+QUEUE_ASK_INTERVAL_S = 0.04
+# After a request to the owner for servers outside of the subset, such servers are part of the next
+# requests for this time, in seconds. A placement needs one datagram then.
+BORROW_AHEAD_S = 1.0
 # A probe without a response after this time puts the path to the service in doubt, in seconds.
 SILENCE_S = 0.1
 # longest time that a request waits for a sign of life, in which the path is checked
@@ -79,6 +84,10 @@
         self._probe_tasks: dict[str, asyncio.Task] = {}
         # tasks that probe for waiting requests, by service
         self._queue_tasks: dict[str, asyncio.Task] = {}
+        # time of the last request to the owner of each service, and of the last for servers that
+        # were borrowed
+        self._asked_at: dict[str, float] = {}
+        self._borrowed_at: dict[str, float] = {}
         # tasks that ask for probes
         self._grant_tasks: set[asyncio.Task] = set()
         self._rng = random.Random()
@@ -94,14 +103,29 @@
         since it would be lost if this node's path to the servers is.
         """
         started_at = time.monotonic()
+        count = self._options.per_placement
+        borrowed = self._borrow_ahead(dispatcher, count, started_at)
         await self._probe_sample(dispatcher, request.excluded_server_ids)
         if not request.idempotent:
             await self._wait_for_sign_of_life(dispatcher, started_at)
-        if dispatcher.has_suitable_server(request):
+        if borrowed or dispatcher.has_suitable_server(request):
             return
-        count = self._options.per_placement
+        await self._borrow_servers(dispatcher, count)
+
+    def _borrow_ahead(self, dispatcher: Dispatcher, count: int, now: float) -> list[ServerLoad]:
+        """Add servers outside of the subset, if reports of such were requested a short time ago.
+
+        They are part of the next request to the owner, so that one datagram suffices.
+        """
+        if now - self._borrowed_at.get(dispatcher.service, float("-inf")) > BORROW_AHEAD_S:
+            return []
+        return self._gateway.dispatchers.borrow_servers(dispatcher, count)
+
+    async def _borrow_servers(self, dispatcher: Dispatcher, count: int) -> None:
+        """Add servers outside of the subset, and obtain their reports."""
         borrowed = self._gateway.dispatchers.borrow_servers(dispatcher, count)
-        await self._obtain_reports(dispatcher, borrowed, count)
+        if await self._obtain_reports(dispatcher, borrowed, count):
+            self._borrowed_at[dispatcher.service] = time.monotonic()
 
     async def _wait_for_sign_of_life(self, dispatcher: Dispatcher, since: float) -> None:
         path = dispatcher.path
@@ -123,13 +147,16 @@
     async def _probe_while_queued(self, dispatcher: Dispatcher) -> None:
         while dispatcher.count_queued():
             await asyncio.sleep(QUEUE_PROBE_INTERVAL_S)
-            await self._probe_sample(dispatcher, set())
+            borrowed = self._borrow_ahead(dispatcher, 1, time.monotonic())
+            await self._probe_sample(dispatcher, set(), queued=True)
             if not dispatcher.count_queued():
                 return
-            borrowed = self._gateway.dispatchers.borrow_servers(dispatcher, 1)
-            await self._obtain_reports(dispatcher, borrowed, 1)
+            if not borrowed:
+                await self._borrow_servers(dispatcher, 1)
 
-    async def _probe_sample(self, dispatcher: Dispatcher, excluded_ids: set[str]) -> None:
+    async def _probe_sample(
+        self, dispatcher: Dispatcher, excluded_ids: set[str], *, queued: bool = False
+    ) -> None:
         now = time.monotonic()
         available = [
             load
@@ -144,22 +171,35 @@
         ]
         self._rng.shuffle(candidates)
         fresh_count = sum(now - load.reported_at <= MIN_ASK_REPORT_AGE_S for load in available)
+        asked_at = self._asked_at.get(dispatcher.service, float("-inf"))
         await self._obtain_reports(
-            dispatcher, candidates, self._options.per_placement, fresh_count=fresh_count
+            dispatcher,
+            candidates,
+            self._options.per_placement,
+            fresh_count=fresh_count,
+            may_ask=not queued or now - asked_at >= QUEUE_ASK_INTERVAL_S,
         )
 
     async def _obtain_reports(
-        self, dispatcher: Dispatcher, loads: list[ServerLoad], count: int, *, fresh_count: int = 0
-    ) -> None:
+        self,
+        dispatcher: Dispatcher,
+        loads: list[ServerLoad],
+        count: int,
+        *,
+        fresh_count: int = 0,
+        may_ask: bool = True,
+    ) -> bool:
         """Obtain reports of some of the given servers, the first of them by preference.
 
         Servers are probed within this node's own share of the probes. If that yields too few
         reports, the owner of the service is asked.
 
         :param fresh_count: number of servers that need no report.
+        :param may_ask: whether the owner may be asked.
+        :returns: whether the owner was asked.
         """
         if not loads or self.max_probes_per_s <= 0.0:
-            return
+            return False
         now = time.monotonic()
         chosen: list[ServerLoad] = []
         others: list[ServerLoad] = []
@@ -170,7 +210,9 @@
                 others.append(load)
         tasks = [self._start_probe(dispatcher, load) for load in chosen]
         missing_count = count - len(chosen) - fresh_count
-        if missing_count > 0 and others:
+        asks = may_ask and missing_count > 0 and bool(others)
+        if asks:
+            self._asked_at[dispatcher.service] = now
             request = self._grants.request(
                 dispatcher,
                 others,
@@ -184,6 +226,7 @@
                 tasks.append(task)
         if tasks:
             await asyncio.wait(tasks, timeout=self._options.wait_s)
+        return asks
 
     async def _probe_granted(self, dispatcher: Dispatcher, loads: list[ServerLoad]) -> None:
         """Probe servers whose probes were granted, and wait for the reports."""
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -13,6 +13,7 @@
 from .gateway import Gateway
 from .load_prober import LoadProber
 from .path_checker import PathChecker
+from .probe_grants import ProbeGrants
 from .relays import RelayClient
 
 REQUEST_DURATION_BUCKET_BOUNDS_S = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
@@ -23,6 +24,7 @@
     *,
     gateway: Gateway,
     prober: LoadProber,
+    probe_grants: ProbeGrants,
     path_checker: PathChecker,
     relay_client: RelayClient,
     registry: ServerRegistry,
@@ -44,6 +46,12 @@
             (prober.failed_count, {"result": "failed"}),
         ]
 
+    def read_probe_grants():
+        return [(count, {"result": name}) for name, count in probe_grants.result_counts.items()]
+
+    def read_owned_services():
+        return [(1, {"service": service}) for service in probe_grants.list_owned()]
+
     def read_dropped_lines():
         return [(request_log.dropped_lines + output.dropped_lines, {})]
 
@@ -95,6 +103,8 @@
     )
     add_counter(provider, "requests", "1", "Requests, by outcome.", read_outcomes)
     add_counter(provider, "probes", "1", "Probes of servers.", read_probes)
+    add_counter(provider, "probes.grants", "1", "Requests for probes.", read_probe_grants)
+    add_gauge(provider, "probes.owned", "1", "Services granted here.", read_owned_services)
     add_counter(provider, "log.dropped", "1", "Log lines left out.", read_dropped_lines)
     add_counter(provider, "connections", "1", "Opened to servers.", read_opened_connections)
     add_counter(
--- a/src/jasmineseam/node/probe_grants.py
+++ b/src/jasmineseam/node/probe_grants.py
@@ -146,7 +146,10 @@
                 for registered in self._registry.list_usable(service)
             ),
             node_counts=self._membership.count_by_domain(),
-            reachable_count=self._membership.count_reachable(domain),
+            # Nodes of earlier builds ask for no grants, and use the whole equal share themselves.
+            reachable_count=self._membership.count_reachable(
+                domain, message_kinds=PROBE_MESSAGE_KINDS
+            ),
         )
         self._shares[service, server_domain] = share
         return share
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -75,6 +75,14 @@
     assert list_live_ids(membership) == ["a", "own"]
 
 
+def test_field_that_a_forwarding_node_dropped_is_restored(clock):
+    """Guards against a node that counts as an earlier build because one passed its state on."""
+    membership = make_membership(clock, make_info("a", message_kinds=0))
+    membership.record_contact(make_info("a", message_kinds=1))
+    assert membership.get("a").message_kinds == 1
+    assert membership.count_reachable("d1", message_kinds=1) == 1
+
+
 def test_suspicion_of_the_own_node_raises_its_version(clock):
     membership = make_membership(clock)
     assert not membership.suspect("own", 0)
--- a/tests/test_probes_by_demand.py
+++ b/tests/test_probes_by_demand.py
@@ -176,3 +176,34 @@
 
     run_simulation(scenario, node_count=node_count, server_count=5, work_s=0.047)
     assert monitor.compute_fresh_share() >= 0.9
+
+
+def test_nodes_of_earlier_builds_get_no_messages_about_probes(monkeypatch):
+    """Guards against a warning per datagram at nodes that can't decode the messages."""
+    monitor = ProbeMonitor(monkeypatch)
+    limit_per_s = 42.0
+    received = []
+
+    async def scenario(simulation):
+        set_limit(simulation, limit_per_s)
+        old = {name for name in simulation.nodes if int(name[1:]) % 2}
+        for name in old:
+            node = simulation.nodes[name].node
+            node.fleet.update_own(message_kinds=0)
+            node.prober._may_ask = lambda dispatcher, load, now: False
+            # the rule of commit f908b59
+            node.prober._may_probe_unasked = lambda dispatcher, load, now: (
+                now - load.last_probe_at >= dispatcher.node_count / (0.8 * limit_per_s)
+            )
+            handle = node.probe_grants.handle
+            node.probe_grants.handle = lambda message, handle=handle: (
+                received.append(message),
+                handle(message),
+            )
+        await asyncio.sleep(SETTLE_S)
+        assert not any(simulation.nodes[name].node.probe_grants.list_owned() for name in old)
+        await simulation.send_load(150.0, 3.0)
+
+    run_simulation(scenario, node_count=24, server_count=5, work_s=0.047)
+    assert not received
+    assert monitor.count_most_per_second() <= FAULT_FACTOR * limit_per_s
