--- a/src/jasmineseam/membership/nodes.py
+++ b/src/jasmineseam/membership/nodes.py
@@ -38,6 +38,8 @@
     :param leaving: whether the node is shutting down.
     :param reads_store: whether the node has no failing access to the metadata store.
     :param lost_services: services whose servers other nodes reach, but this node does not.
+    :param grants_quotas: whether the node takes part in the quotas of client accounts. Nodes of
+        earlier builds don't, and leave the field out of states that they forward.
     """
 
     vm_id: str
@@ -50,6 +52,7 @@
     leaving: bool = False
     reads_store: bool = True
     lost_services: list[str] = []
+    grants_quotas: bool = False
 
 
 class NodeStatus(enum.Enum):
@@ -121,6 +124,12 @@
             return info != self.own and self.refute(info.version)
         member = self._members.get(info.vm_id)
         if member is not None and info.version <= member.info.version:
+            if info.version == member.info.version and (
+                info.grants_quotas and not member.info.grants_quotas
+            ):
+                # An earlier build has forwarded this state without the field.
+                member.info = info
+                self.state_changes += 1
             return False
         self._members[info.vm_id] = _Member(info, self._clock())
         self.state_changes += 1
@@ -230,6 +239,13 @@
             count += 1
         return max(1, int(count))
 
+    def count_alive(self) -> int:
+        """Return the number of nodes of :meth:`count` that are neither suspected nor failed."""
+        return 1 + sum(
+            member.status == NodeStatus.ALIVE and not member.info.leaving
+            for member in self._members.values()
+        )
+
     def compute_digests(self) -> list[int]:
         """Return one hash per group of nodes, over the versions of alive nodes' states."""
         version = (self.state_changes, self.own.version)
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -27,6 +27,8 @@
 from ..requests.ledger import LedgerSnapshot
 from ..requests.outcome import CallerResponse
 from ..routing.quarantine import CrashReport
+from ..routing.quotas import LogCopy
+from ..routing.quotas import Quota
 from ..routing.routes import Route
 
 PROTOCOL_VERSION = 1
@@ -404,6 +406,69 @@
     relay_id: str
 
 
+class QuotaRequest(Message, tag="quota-request"):
+    """Datagram that requests tokens of a client account from the account's owner.
+
+    :param sender: VM of the node that requests them.
+    :param number: number of the request at its sender, which a repeated request has, too.
+    :param wanted: number of tokens.
+    :param logs: what owners have granted, as far as the sender knows.
+    """
+
+    sender: str
+    number: int
+    wanted: t.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+    quota: Quota
+    logs: list[LogCopy] = []
+
+
+class QuotaGrant(Message, tag="quota-grant"):
+    """Datagram that answers :class:`QuotaRequest`.
+
+    :param sender: VM of the owner.
+    :param tokens: number of granted tokens, 0 if none is due.
+    :param retry_after_s: time until a token is due, in seconds.
+    :param logs: what owners have granted, as far as the sender knows.
+    """
+
+    sender: str
+    account: str
+    number: int
+    tokens: t.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+    retry_after_s: t.Annotated[float, msgspec.Meta(ge=0.0, le=1e6)] = 0.0
+    logs: list[LogCopy] = []
+
+
+class QuotaReturn(Message, tag="quota-return"):
+    """Datagram that returns tokens that were not used and will not be.
+
+    :param number: number of the request by which they were granted.
+    :param unused: number of unused tokens of that grant in all.
+    """
+
+    sender: str
+    account: str
+    number: int
+    unused: t.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+
+
+class QuotaCopy(Message, tag="quota-copy"):
+    """Datagram by which the owner of an account and the next node in rank send their logs.
+
+    :param is_reply: whether it answers another one, so that it needs no answer itself.
+    :param covered_s: time for which the sender's logs have been complete, in seconds.
+    """
+
+    sender: str
+    account: str
+    is_reply: bool = False
+    covered_s: t.Annotated[float, msgspec.Meta(ge=0.0)] = 0.0
+    logs: list[LogCopy] = []
+
+
+QuotaMessage = QuotaRequest | QuotaGrant | QuotaReturn | QuotaCopy
+
+
 class DumpRequest(Message, tag="dump-request"):
     """Requests the state of a process."""
 
@@ -445,6 +510,10 @@
     | RelayedRequest
     | RelayedResponse
     | RelayCancellation
+    | QuotaRequest
+    | QuotaGrant
+    | QuotaReturn
+    | QuotaCopy
     | DumpRequest
     | DumpReply
     | RefusedReply
