Take a token of the account's quota before a request is placed

The gateway asks for a token and returns it if the request was sent to no server. The request log names the account, the metrics count tokens by result.

--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -33,6 +33,7 @@
 from ..peers.datagrams import DatagramEndpoint
 from ..peers.messages import FleetMessage
 from ..peers.messages import Message
+from ..peers.messages import QuotaMessage
 from ..peers.messages import RefusedReply
 from ..peers.messages import RelayCancellation
 from ..peers.messages import RelayedRequest
@@ -48,6 +49,7 @@
 from .load_prober import LoadProber
 from .metrics import add_node_metrics
 from .path_checker import PathChecker
+from .quotas import NodeQuotas
 from .relays import RelayClient
 from .relays import RelayServer
 
@@ -163,6 +165,7 @@
                 entry_address=settings.listeners.entry,
                 notice_address=settings.listeners.notices,
                 peer_address=settings.listeners.peers,
+                grants_quotas=True,
             ),
             contacts=settings.seed_peers,
             send=self.datagrams.send,
@@ -179,6 +182,14 @@
             rng=random.Random(),
         )
         self._notices.fleet = self.fleet
+        self.quotas = NodeQuotas(
+            membership=self.fleet.membership,
+            send=self.datagrams.send,
+            settings=settings.quotas,
+            first_start=settings.first_start,
+        )
+        self.gateway.take_token = self.quotas.take
+        self.gateway.give_back_token = self.quotas.give_back
 
     @property
     def ready(self) -> bool:
@@ -220,6 +231,7 @@
             self.store_watcher.watch_servers,
             self._watch_nodes,
             self.fleet.run_forever,
+            self.quotas.run_forever,
             self._run_maintenance_forever,
             self._output.flush_periodically,
         ):
@@ -232,6 +244,7 @@
             prober=self.prober,
             path_checker=self.path_checker,
             relay_client=self.relay_client,
+            quotas=self.quotas,
             registry=self.registry,
             request_log=self.request_log,
             output=self._output,
@@ -271,6 +284,8 @@
     def _handle_datagram(self, message: Message) -> None:
         if isinstance(message, FleetMessage):
             self.fleet.handle(message)
+        elif isinstance(message, QuotaMessage):
+            self.quotas.handle(message)
 
     async def stop_gracefully(self) -> None:
         """Announce the stop to the peers, stop listening, and wait for running requests to finish.
@@ -324,6 +339,10 @@
             "relayed": dict(self.relay_client.outcome_counts),
             "relaying": self.relay_server.in_flight,
             "lost_paths": self.path_checker.list_lost_services(),
+            "quotas": {
+                "results": dict(self.quotas.result_counts),
+                "granted": self.quotas.count_granted(),
+            },
             "quarantined": self.gateway.attempts.quarantine.count_quarantined(),
             "task_restarts": dict(self.task_restarts),
             "outcomes": dict(self.gateway.outcome_counts),
@@ -369,6 +388,7 @@
     def _apply_routing_table(self, table: RoutingTable, source: str) -> bool:
         applied = self.gateway.apply_routing_table(table)
         if applied:
+            self.quotas.apply_routing_table(table)
             self.logger.info(
                 "Applied routing table version {:08x} with {} routes from {}.",
                 table.version,
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import time
 import typing as t
@@ -19,9 +20,12 @@
 from ..operations.request_log import RequestLog
 from ..requests.protocol import HeaderCodec
 from ..requests.protocol import ResponseHead
+from ..requests.protocol import ServerResponse
 from ..routing.caller_timeout import CallerTimeoutEstimator
 from ..routing.load import ServerLoad
+from ..routing.quotas import Token
 from ..routing.routes import CallerLimits
+from ..routing.routes import ClientAccount
 from ..routing.routes import RouteIndex
 from ..routing.routes import RoutingTable
 from ..routing.routes import WeightedRoundRobin
@@ -95,6 +99,12 @@
         self.on_server_leaving: t.Callable[[str, int], None] = lambda server_id, started_ms: None
         # Called when a response changes the limit that its server names.
         self.on_request_limit: t.Callable[[RequestLimit], None] = lambda limit: None
+        # Takes a token of an account's quota for a request; raises NotRunError if none is due.
+        self.take_token: t.Callable[[ClientAccount | None], t.Awaitable[Token | None]] = (
+            _take_no_token
+        )
+        # Returns the token of a request that was offered to no server.
+        self.give_back_token: t.Callable[[Token | None], None] = lambda token: None
         # While set, each response closes its caller connection.
         self.draining = False
         self.in_flight = 0
@@ -189,7 +199,7 @@
                     raise NotRunError("head-timeout", 408)
                 await self._read_request(request, proxied)
                 service = self._service_balancer.choose_service(proxied.route)
-                server_response = await self.attempts.run(proxied, service)
+                server_response = await self._run_within_quota(proxied, service)
                 response = build_response(request.method, server_response)
                 outcome = OUTCOME_ANSWERED
             except NotRunError as error:
@@ -216,6 +226,17 @@
             connection.end_request()
             self._record_completion(proxied, outcome, status)
 
+    async def _run_within_quota(self, proxied: ProxiedRequest, service: str) -> ServerResponse:
+        """Run a request with a token of its account, which is returned if it was not sent."""
+        token = await self.take_token(proxied.account)
+        try:
+            return await self.attempts.run(proxied, service)
+        except (NotRunError, asyncio.CancelledError):
+            # Another node to which the request was relayed may have offered it to a server.
+            if not proxied.sent and not proxied.attempt_trace:
+                self.give_back_token(token)
+            raise
+
     def record_relayed(
         self, proxied: ProxiedRequest, outcome: str, status: int, relay_id: str
     ) -> None:
@@ -288,6 +309,10 @@
         return build_not_run_response(NotRunError("fault", 503, INTERNAL_ERROR_RETRY_AFTER_S))
 
 
+async def _take_no_token(account: ClientAccount | None) -> None:
+    return None
+
+
 def _count_head_bytes(request: web.BaseRequest) -> int:
     size = len(request.method) + len(request.raw_path)
     for name, value in request.raw_headers:
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -13,6 +13,7 @@
 from .gateway import Gateway
 from .load_prober import LoadProber
 from .path_checker import PathChecker
+from .quotas import NodeQuotas
 from .relays import RelayClient
 
 REQUEST_DURATION_BUCKET_BOUNDS_S = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
@@ -25,6 +26,7 @@
     prober: LoadProber,
     path_checker: PathChecker,
     relay_client: RelayClient,
+    quotas: NodeQuotas,
     registry: ServerRegistry,
     request_log: RequestLog,
     output: LineOutput,
@@ -65,6 +67,12 @@
     def read_relays():
         return [(count, {"outcome": name}) for name, count in relay_client.outcome_counts.items()]
 
+    def read_quota_results():
+        return [(count, {"result": name}) for name, count in quotas.result_counts.items()]
+
+    def read_quota_grants():
+        return [(quotas.granted_count, {})]
+
     def read_path_losses():
         return [(path_checker.lost_count, {})]
 
@@ -116,5 +124,7 @@
     add_counter(provider, "crashes", "1", "Of servers under requests of this node.", read_crashes)
     add_gauge(provider, "paths.lost", "1", "Services out of reach.", read_lost_paths)
     add_counter(provider, "relays", "1", "Through other nodes, by outcome.", read_relays)
+    add_counter(provider, "quotas.tokens", "1", "Asked for, by result.", read_quota_results)
+    add_counter(provider, "quotas.grants", "1", "Tokens granted as owner.", read_quota_grants)
     add_counter(provider, "paths.losses", "1", "Of paths to services.", read_path_losses)
     add_gauge(provider, "servers.age", "s", "Age of the list of servers.", read_server_list_age)
--- a/src/jasmineseam/node/proxied_request.py
+++ b/src/jasmineseam/node/proxied_request.py
@@ -113,6 +113,8 @@
         line.tried_before_ms = round(proxied.elapsed_before_arrival_s * 1000)
     if outcome.startswith("unknown:") or outcome.endswith(":quarantined"):
         line.fingerprint = proxied.get_fingerprint().hex()
+    if ":quota-" in outcome and proxied.account is not None:
+        line.quota = proxied.account.name
     if proxied.dispatcher is not None:
         line.service = proxied.dispatcher.service
     return line
--- a/src/jasmineseam/operations/explanation.py
+++ b/src/jasmineseam/operations/explanation.py
@@ -31,6 +31,8 @@
     "no-server": "the service had no untried server in the server list",
     "server-limit": "the servers name limits on requests, which were reached",
     "quarantined": "servers crashed while they ran the same request, so it is not sent to others",
+    "quota-exceeded": "the client account had used its quota at all nodes together",
+    "quota-unreachable": "no node that grants the client account's quota answered",
     "no-path": "no node that was asked reaches the servers of the service",
     "leaving": "the nodes that were asked to relay the request are stopping",
     "relay-lost": "the node that relayed the request gave no response",
@@ -205,6 +207,8 @@
         rows.append(f"  run for another node, relay {line.relay}")
     if line.fingerprint:
         rows.append(f"  fingerprint {line.fingerprint}")
+    if line.quota:
+        rows.append(f"  client account {line.quota}")
     if line.tried_before_ms:
         rows.append(f"  earlier attempts of the caller took {line.tried_before_ms} ms")
     if explanation.waited_ms:
--- a/src/jasmineseam/operations/request_log.py
+++ b/src/jasmineseam/operations/request_log.py
@@ -41,6 +41,7 @@
     :param tried: attempts in order, each as ``server:result:duration:xSLOWNESS@AGE`` with the age
         of the load report; see :func:`.explanation.parse_attempt`.
     :param relay: id of the relay, if another node has received the request from its caller.
+    :param quota: client account whose quota the request was refused for.
     :param dropped: number of lines that the rate limit dropped since the previous line.
     """
 
@@ -58,6 +59,7 @@
     fingerprint: str = ""
     tried: list[str] = []
     relay: str = ""
+    quota: str = ""
     dropped: int = 0
 
 
