--- a/src/jasmineseam/membership/nodes.py
+++ b/src/jasmineseam/membership/nodes.py
@@ -47,6 +47,8 @@
         from builds without evacuations.
     :param message_kinds: counts the extensions of the messages between nodes; a node is sent only
         messages that it understands. Nodes of builds before the first extension have 0.
+    :param grants_quotas: whether the node takes part in the quotas of client accounts. Nodes of
+        earlier builds don't, and leave the field out of states that they forward.
     """
 
     vm_id: str
@@ -61,6 +63,7 @@
     lost_services: list[str] = []
     evacuated: list[str] | None = None
     message_kinds: int = 0
+    grants_quotas: bool = False
 
 
 class NodeStatus(enum.Enum):
@@ -132,6 +135,12 @@
             return info != self.own and self.refute(info.version)
         member = self._members.get(info.vm_id)
         if member is not None and info.version <= member.info.version:
+            if info.version == member.info.version and (
+                info.grants_quotas and not member.info.grants_quotas
+            ):
+                # An earlier build has forwarded this state without the field.
+                member.info = info
+                self.state_changes += 1
             return False
         self._members[info.vm_id] = _Member(info, self._clock())
         self.state_changes += 1
@@ -275,6 +284,13 @@
             for info in nodes
         )
 
+    def count_alive(self) -> int:
+        """Return the number of nodes of :meth:`count` that are neither suspected nor failed."""
+        return 1 + sum(
+            member.status == NodeStatus.ALIVE and not member.info.leaving
+            for member in self._members.values()
+        )
+
     def compute_digests(self) -> list[int]:
         """Return one hash per group of nodes, over the versions of alive nodes' states."""
         version = (self.state_changes, self.own.version)
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -35,6 +35,7 @@
 from ..peers.datagrams import DatagramEndpoint
 from ..peers.messages import FleetMessage
 from ..peers.messages import Message
+from ..peers.messages import QuotaMessage
 from ..peers.messages import RefusedReply
 from ..peers.messages import RelayCancellation
 from ..peers.messages import RelayedRequest
@@ -52,6 +53,7 @@
 from .metrics import add_node_metrics
 from .path_checker import PathChecker
 from .probe_grants import ProbeGrants
+from .quotas import NodeQuotas
 from .relays import RelayClient
 from .relays import RelayServer
 
@@ -176,6 +178,7 @@
                 peer_address=settings.listeners.peers,
                 evacuated=[],
                 message_kinds=OWN_MESSAGE_KINDS,
+                grants_quotas=True,
             ),
             contacts=settings.seed_peers,
             send=self.datagrams.send,
@@ -205,6 +208,13 @@
             get_limit=lambda: self.settings.probes_per_s,
             send=self.datagrams.send,
         )
+        self.quotas = NodeQuotas(
+            membership=self.fleet.membership,
+            send=self.datagrams.send,
+            settings=settings.quotas,
+        )
+        self.gateway.take_token = self.quotas.take
+        self.gateway.give_back_token = self.quotas.give_back
 
     @property
     def ready(self) -> bool:
@@ -257,6 +267,7 @@
             self.store_watcher.watch_servers,
             self._watch_nodes,
             self.fleet.run_forever,
+            self.quotas.run_forever,
             self._run_maintenance_forever,
             self._output.flush_periodically,
         ):
@@ -270,6 +281,7 @@
             probe_grants=self.probe_grants,
             path_checker=self.path_checker,
             relay_client=self.relay_client,
+            quotas=self.quotas,
             registry=self.registry,
             request_log=self.request_log,
             output=self._output,
@@ -315,6 +327,8 @@
     def _handle_datagram(self, message: Message) -> None:
         if isinstance(message, FleetMessage):
             self.fleet.handle(message)
+        elif isinstance(message, QuotaMessage):
+            self.quotas.handle(message)
         else:
             self.probe_grants.handle(message)
 
@@ -374,6 +388,10 @@
             "relayed": dict(self.relay_client.outcome_counts),
             "relaying": self.relay_server.in_flight,
             "lost_paths": self.path_checker.list_lost_services(),
+            "quotas": {
+                "results": dict(self.quotas.result_counts),
+                "granted": self.quotas.count_granted(),
+            },
             "quarantined": self.gateway.attempts.quarantine.count_quarantined(),
             "task_restarts": dict(self.task_restarts),
             "outcomes": dict(self.gateway.outcome_counts),
@@ -428,6 +446,7 @@
         applied = self.gateway.apply_routing_table(table, replace=confirmation.provisional)
         if applied:
             confirmation.record_table(table.version, provisional=provisional)
+            self.quotas.apply_routing_table(table)
             self.logger.info(
                 "Applied routing table version {:08x} with {} routes from {}.",
                 table.version,
