--- a/src/jasmineseam/fleet/outbox.py
+++ b/src/jasmineseam/fleet/outbox.py
@@ -6,6 +6,7 @@
 
 from ..membership.nodes import NodeInfo
 from ..membership.registry import Departure
+from ..membership.request_limits import SOURCE_WARMUP
 from ..membership.request_limits import RequestLimit
 from ..peers.messages import ServersNotice
 from ..routing.quarantine import CrashReport
@@ -20,7 +21,15 @@
 class Outbox:
     """News to be sent, which is divided into parts that fit into datagrams."""
 
-    __slots__ = ("_crashes", "_departures", "_limits", "_nodes", "_servers", "_suspected")
+    __slots__ = (
+        "_crashes",
+        "_departures",
+        "_limits",
+        "_nodes",
+        "_servers",
+        "_suspected",
+        "_warmups",
+    )
 
     def __init__(self) -> None:
         self._clear()
@@ -38,7 +47,9 @@
         self._nodes.update((info.vm_id, info) for info in nodes)
         self._suspected.update(suspected)
         self._departures.update((departure.server_id, departure) for departure in departures)
-        self._limits.update((limit.server_id, limit) for limit in request_limits)
+        for limit in request_limits:
+            limits = self._warmups if limit.source == SOURCE_WARMUP else self._limits
+            limits[limit.server_id] = limit
         self._crashes.extend(crashes)
         if servers is not None:
             self._servers.append(servers)
@@ -50,6 +61,7 @@
             ("suspected", list(self._suspected.items()), MAX_NODES_PER_UPDATE),
             ("departures", list(self._departures.values()), MAX_DEPARTURES_PER_UPDATE),
             ("request_limits", list(self._limits.values()), MAX_LIMITS_PER_UPDATE),
+            ("warmups", list(self._warmups.values()), MAX_LIMITS_PER_UPDATE),
             ("crashes", self._crashes, MAX_CRASHES_PER_UPDATE),
         )
         servers = self._servers
@@ -66,4 +78,5 @@
         self._departures: dict[str, Departure] = {}
         self._servers: list[ServersNotice] = []
         self._limits: dict[str, RequestLimit] = {}
+        self._warmups: dict[str, RequestLimit] = {}
         self._crashes: list[CrashReport] = []
--- a/src/jasmineseam/fleet/spreading.py
+++ b/src/jasmineseam/fleet/spreading.py
@@ -47,6 +47,9 @@
 # interval between two contacts to nodes that failed or were never reached
 CONTACT_INTERVAL_S = 2.0
 NODES_REQUEST_INTERVAL_S = 1.0
+# A node that has met no majority of its seed contacts in this time takes the nodes that it knows
+# for the whole fleet, since the seed contacts may not be in use any more.
+SEEDS_TIMEOUT_S = 60.0
 _logger = logbook.Logger("fleet")
 
 
@@ -93,6 +96,8 @@
         rng: random.Random,
     ) -> None:
         self.membership = NodeMembership(own=own, clock=clock)
+        self._seeds = set(contacts)
+        self._has_met_seeds = False
         self._contacts = {address for address in contacts if address != own.notice_address}
         self._is_contact = len(self._contacts) < len(set(contacts))
         self._send = send
@@ -122,6 +127,28 @@
             return True
         return self._clock() - self._started_at >= JOIN_TIMEOUT_S
 
+    def has_met_fleet(self) -> bool:
+        """Return whether this node may know most of the other nodes.
+
+        It has met a majority of its seed contacts, itself included. Of several groups of nodes
+        that have started while they could not reach each other, only one has. The result stays
+        true, since a node remembers the nodes that fail later.
+        """
+        if not self._has_met_seeds:
+            self._has_met_seeds = self._meets_seeds()
+        return self._has_met_seeds
+
+    def _meets_seeds(self) -> bool:
+        membership = self.membership
+        known = {
+            info.notice_address
+            for info in (membership.own, *membership.list_peers(), *membership.list_failed())
+        }
+        if 2 * len(self._seeds & known) > len(self._seeds) or not self._seeds:
+            return True
+        started_long_ago = self._clock() - self._started_at >= SEEDS_TIMEOUT_S
+        return started_long_ago and len(known) > 1
+
     def get_reader_rank(self) -> int | None:
         """Return the rank of this node among the nodes that may read the metadata store.
 
@@ -236,7 +263,7 @@
         if self.membership.own.version != own_version:
             new_nodes.append(self.membership.own)
         new_departures = self._handlers.add_departures(message.departures)
-        new_limits = self._handlers.add_request_limits(message.request_limits)
+        new_limits = self._handlers.add_request_limits(message.request_limits + message.warmups)
         new_crashes = self._handlers.add_crashes(message.crashes)
         servers = message.servers
         if servers is not None and not self._handlers.apply_servers(servers):
--- a/src/jasmineseam/fleet/state_sync.py
+++ b/src/jasmineseam/fleet/state_sync.py
@@ -186,6 +186,7 @@
         reply.servers_age_s = registry.get_list_age_s()
         reply.departures = registry.list_departures()
         reply.request_limits = self._request_limits.list_limits()
+        reply.warmups = self._request_limits.list_warmups()
         reply.crashes = self._quarantine.list_reports()
         return reply
 
@@ -280,7 +281,7 @@
         self._add_request_limits(
             [
                 limit
-                for limit in reply.request_limits
+                for limit in (*reply.request_limits, *reply.warmups)
                 if self._registry.get_server(limit.server_id) is not None
             ]
         )
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -300,6 +300,8 @@
     :param departures: servers that are leaving, according to their own responses.
     :param request_limits: limits that servers have named, moved or withdrawn.
     :param crashes: crashes of servers under requests.
+    :param warmups: limits of cold servers. They are apart from *request_limits*, since nodes of
+        earlier builds would take them for limits without an end and return them as such.
     """
 
     nodes: list[NodeInfo] = []
@@ -308,6 +310,7 @@
     servers: ServersNotice | None = None
     request_limits: list[RequestLimit] = []
     crashes: list[CrashReport] = []
+    warmups: list[RequestLimit] = []
 
 
 class StateRequest(Message, tag="state-request"):
@@ -333,6 +336,7 @@
     :param departures: servers that have left or are leaving.
     :param request_limits: limits that servers name or have withdrawn lately.
     :param crashes: crashes of servers under requests.
+    :param warmups: limits of cold servers.
     """
 
     table: bytes = b""
@@ -343,6 +347,7 @@
     departures: list[Departure] = []
     request_limits: list[RequestLimit] = []
     crashes: list[CrashReport] = []
+    warmups: list[RequestLimit] = []
 
 
 class RelayedRequest(Message, tag="relayed-request"):
--- a/src/jasmineseam/routing/request_shares.py
+++ b/src/jasmineseam/routing/request_shares.py
@@ -22,6 +22,9 @@
 MIN_REQUESTS_PER_S = 0.1
 # probes per second that all nodes send to a server that names a limit
 PROBES_PER_S = 0.5
+# A node that gets a share of a cold server's limit gains no tokens for this time, in seconds, so
+# that the other nodes know of the change before the share is used.
+WARMUP_HOLD_S = 0.5
 
 
 class RequestShare(t.NamedTuple):
@@ -103,11 +106,51 @@
     return RequestShare(requests_per_s / count, max(1.0, burst / count), count)
 
 
+def compute_warmup_share(
+    limit_per_s: float, *, bound: float, rank: int | None, node_count: int
+) -> RequestShare:
+    """Return a node's share of the limit of a cold server.
+
+    Each bucket holds one token. The shares of all nodes therefore allow at most one request for
+    each node with a share, and the sum of the rates, within any second. The number of nodes takes
+    half of the part of the bound above the rate. The other half is left for requests that are
+    delayed on their way and for nodes that disagree on the membership for a moment.
+
+    :param limit_per_s: requests per second that a cold server accepts.
+    :param bound: requests that a cold server may get within any second.
+    :param rank: rank of the node, ``None`` if it gets no share.
+    :param node_count: number of all nodes.
+
+    >>> compute_warmup_share(7.0, bound=18.5, rank=0, node_count=51).node_count
+    5
+    >>> compute_warmup_share(0.5, bound=0.5, rank=0, node_count=51) == NO_SHARE
+    True
+    """
+    count = max(1, min(node_count, int((bound - limit_per_s) / 2)))
+    requests_per_s = USABLE_LIMIT_FRACTION * min(limit_per_s, bound - count)
+    if rank is None or rank >= count or requests_per_s <= 0.0:
+        return NO_SHARE
+    return RequestShare(requests_per_s / count, 1.0, count)
+
+
+def combine_shares(first: RequestShare, second: RequestShare) -> RequestShare:
+    """Return the share of a node in a server with two limits, which keeps both of them."""
+    if not first.requests_per_s or not second.requests_per_s:
+        return NO_SHARE
+    return RequestShare(
+        min(first.requests_per_s, second.requests_per_s),
+        min(first.burst, second.burst),
+        max(first.node_count, second.node_count),
+    )
+
+
 class TokenBucket:
     """Bounds the requests of one node to one server. It starts empty.
 
     :param share: rate and capacity of the bucket.
     :param now: current monotonic time, in seconds.
+    :param hold_s: time for which it gains no tokens, in seconds.
+    :param limits_probes: whether the server gets few probes, too.
 
     >>> bucket = TokenBucket(share=RequestShare(2.0, 1.0, 1), now=0.0)
     >>> bucket.get_available_at(0.0), bucket.get_available_at(0.6)
@@ -117,16 +160,29 @@
     1.1
     """
 
-    __slots__ = ("_refilled_at", "_tokens", "share")
+    __slots__ = ("_refilled_at", "_tokens", "limits_probes", "share")
 
-    def __init__(self, *, share: RequestShare, now: float) -> None:
+    def __init__(
+        self,
+        *,
+        share: RequestShare,
+        now: float,
+        hold_s: float = 0.0,
+        limits_probes: bool = True,
+    ) -> None:
         self.share = share
+        self.limits_probes = limits_probes
         self._tokens = 0.0
-        self._refilled_at = now
+        self._refilled_at = now + hold_s
+
+    def set_share(self, share: RequestShare, now: float, *, hold_s: float = 0.0) -> None:
+        """Replace rate and capacity; tokens above the new capacity are lost.
 
-    def set_share(self, share: RequestShare, now: float) -> None:
-        """Replace rate and capacity; tokens above the new capacity are lost."""
+        :param hold_s: time for which the bucket gains no tokens if it had no share before.
+        """
         self._refill(now)
+        if not self.share.requests_per_s and share.requests_per_s:
+            self._refilled_at = now + hold_s
         self.share = share
         self._tokens = min(self._tokens, share.burst)
 
@@ -137,7 +193,7 @@
             return now
         if self.share.requests_per_s <= 0.0:
             return float("inf")
-        return now + (1.0 - self._tokens) / self.share.requests_per_s
+        return self._refilled_at + (1.0 - self._tokens) / self.share.requests_per_s
 
     def take(self, now: float) -> None:
         """Count one request."""
@@ -147,4 +203,4 @@
     def _refill(self, now: float) -> None:
         gained = max(0.0, now - self._refilled_at) * self.share.requests_per_s
         self._tokens = min(self.share.burst, self._tokens + gained)
-        self._refilled_at = now
+        self._refilled_at = max(self._refilled_at, now)
