Prefer servers with a recent health response where warm-up is limited

A node that was paused or cut off may not know that a server has restarted under the same id, or has become cold again. Of a service with a warm-up limit, a server whose last health response to this node is older than 1 s or three intervals between probes is used only if there is no other. Probes of cold servers are limited as those of warm ones. Services without such a limit are used as before.

--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -44,6 +44,12 @@
 SILENCE_POLL_INTERVAL_S = 0.005
 # If the timer for this fires later than this, the node itself was delayed, in seconds.
 MAX_TIMER_DELAY_S = 0.05
+# A health response shows for this time that a server is not cold, in seconds. A server that
+# restarts takes longer until it accepts requests.
+MIN_HEALTH_LIFETIME_S = 1.0
+# The time is at least this many intervals between probes, so that few probes don't concentrate the
+# requests on few servers.
+HEALTH_LIFETIME_INTERVALS = 3.0
 _logger = logbook.Logger("probes")
 
 
@@ -147,8 +153,9 @@
         With it, the nodes that use the same servers stay within the limit together. A server that
         names a limit on requests gets few probes, too.
         """
-        if load.request_bucket is not None:
-            return load.request_bucket.share.node_count / PROBES_PER_S
+        bucket = load.request_bucket
+        if bucket is not None and bucket.limits_probes:
+            return bucket.share.node_count / PROBES_PER_S
         limit_per_s = max(0.001, USABLE_LIMIT_FRACTION * self.max_probes_per_s)
         return dispatcher.node_count / limit_per_s
 
@@ -224,6 +231,10 @@
                 connection.close()
         if head.server_id and head.server_id != load.server_id:
             return
+        interval_s = self._compute_min_interval_s(dispatcher, load)
+        load.health_valid_until = sent_at + max(
+            MIN_HEALTH_LIFETIME_S, HEALTH_LIFETIME_INTERVALS * interval_s
+        )
         self._gateway.record_server_state(load, head, sent_at, probe=True)
         if head.report is None:
             return
--- a/src/jasmineseam/routing/load.py
+++ b/src/jasmineseam/routing/load.py
@@ -37,12 +37,14 @@
         "borrowed_until",
         "ejected_until",
         "failure_domain",
+        "health_valid_until",
         "last_probe_at",
         "paused_until",
         "report",
         "reported_at",
         "request_bucket",
         "request_start_times",
+        "requires_health",
         "server_id",
         "slots",
         "started_ms",
@@ -75,8 +77,12 @@
         self.ejected_until = 0.0
         # the server has asked for no requests until this time
         self.paused_until = 0.0
-        # this node's share of the limit that the server names, ``None`` if it names none
+        # this node's share of the limit of the server, ``None`` if it has none
         self.request_bucket: TokenBucket | None = None
+        # Whether a server with a recent health response is preferred, because the server may have
+        # become cold since an older one.
+        self.requires_health = False
+        self.health_valid_until = float("-inf")
         # reset by a successful attempt
         self._consecutive_ejections = 0
 
@@ -156,6 +162,10 @@
             available_at = max(available_at, self.request_bucket.get_available_at(now))
         return available_at
 
+    def is_health_known(self, now: float) -> bool:
+        """Return whether a health response would have shown that the server is cold."""
+        return not self.requires_health or now < self.health_valid_until
+
     def take_token(self, now: float) -> None:
         """Count a request that will be sent against the limit that the server names."""
         if self.request_bucket is not None:
--- a/src/jasmineseam/routing/placement.py
+++ b/src/jasmineseam/routing/placement.py
@@ -130,7 +130,8 @@
 ) -> tuple[ServerEstimate | None, ServerEstimate | None]:
     """Return the best server with a free slot and the best server overall.
 
-    Either is ``None`` if there is none.
+    Either is ``None`` if there is none. A server that may have become cold since its last health
+    response is chosen only if that applies to all servers.
 
     :param average_slowness: average slowness of the service's hosts.
     :param service_time_s: service time on a host of normal speed, in seconds.
@@ -138,9 +139,9 @@
     :param rng: breaks ties, so that nodes with the same information choose different servers.
     """
     best_free = best = None
-    for load in loads:
-        if now < load.get_available_at(now):
-            continue
+    available = [load for load in loads if now >= load.get_available_at(now)]
+    known = [load for load in available if load.is_health_known(now)]
+    for load in known or available:
         candidate = estimate_server(load, now, average_slowness, service_time_s, failure_domain)
         factor = candidate.latency_factor * (1.0 + TIE_BREAK_JITTER_FRACTION * rng.random())
         candidate = ServerEstimate(load, factor, candidate.has_free_slot)
