Limit the requests to cold servers

The limit of a cold server follows from the server list (time left, or the time since the start) and from health responses, which are spread at once. Nodes that have failed keep their shares until they are forgotten, so that no side of a cut takes over those of the other. A node uses servers of all failure domains while less than three quarters of those in its own are warm. Log lines, the dump and the gauge servers.warmup_left show what is cold.

--- a/src/jasmineseam/membership/registry.py
+++ b/src/jasmineseam/membership/registry.py
@@ -21,6 +21,9 @@
 # A removed listing, or a report that a server is leaving, is remembered for this time, which is
 # longer than the age of any backup of the store.
 DEPARTURE_RETENTION_S = 300.0
+# A newer listing that ends the warm-up of a server later by more than this is a change; by less,
+# it has only taken longer to arrive.
+MIN_COLD_AGAIN_S = 0.5
 
 
 class ServerListing(msgspec.Struct, kw_only=True, frozen=True):
@@ -75,15 +78,19 @@
 class RegisteredServer:
     """A listed server, with the end of its warm-up and the time at which it is removed, if any.
 
+    ``warmup_ends_at`` is the end of the slow start after the server was first listed.
+    ``cold_until`` also follows later listings, since a server may become cold again.
+
     :param listing: the newest listing of the server.
     :param now: current monotonic time, in seconds.
     """
 
-    __slots__ = ("listing", "removal_due_at", "warmup_ends_at")
+    __slots__ = ("cold_until", "listing", "removal_due_at", "warmup_ends_at")
 
     def __init__(self, *, listing: ServerListing, now: float) -> None:
         self.listing = listing
         self.warmup_ends_at = now + listing.warmup_s
+        self.cold_until = self.warmup_ends_at
         self.removal_due_at: float | None = None
 
     @property
@@ -333,6 +340,11 @@
         if restarted:
             self._registered[server_id] = RegisteredServer(listing=listing, now=now)
             return True
+        # A copy of the same listing that arrives later names a time that has passed in part.
+        newer = listing.sequence > registered.listing.sequence
+        if newer and now + listing.warmup_s > max(now, registered.cold_until) + MIN_COLD_AGAIN_S:
+            registered.cold_until = now + listing.warmup_s
+            changed = True
         registered.listing = listing
         registered.removal_due_at = None
         return changed or server_id in self._stale_versions
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -142,6 +142,8 @@
         self.gateway.on_server_leaving = self._notices.report_departure
         self.gateway.on_request_limit = self._notices.report_request_limit
         self.gateway.dispatchers.list_share_candidates = self._notices.list_share_candidates
+        self.gateway.dispatchers.list_warmup_candidates = self._notices.list_warmup_candidates
+        self.gateway.dispatchers.warmup_settings = settings.warmup
         self.gateway.attempts.crash_detector.publish = self._notices.report_crashes
         self.gateway.attempts.crash_detector.may_try = self._notices.sends_trial
         self.datagrams = DatagramEndpoint(handler=self._handle_datagram)
@@ -263,6 +265,7 @@
             settings, vm=current.vm, listeners=current.listeners
         )
         self.gateway.attempts.set_retry_limits(settings.retries)
+        self.gateway.dispatchers.warmup_settings = settings.warmup
         self.prober.max_probes_per_s = settings.probes_per_s
         for address in settings.seed_peers:
             self.fleet.add_contact(address)
@@ -321,6 +324,10 @@
             "servers_age_s": round(self.registry.get_list_age_s(), 3),
             "in_flight": self.gateway.in_flight,
             "request_shares": self.gateway.dispatchers.get_request_shares(),
+            "cold_servers": {
+                limit.server_id: round(limit.left_s, 3)
+                for limit in self.gateway.request_limits.list_warmups()
+            },
             "relayed": dict(self.relay_client.outcome_counts),
             "relaying": self.relay_server.in_flight,
             "lost_paths": self.path_checker.list_lost_services(),
--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -10,17 +10,25 @@
 from ..membership.registry import RegisteredServer
 from ..membership.registry import ServerRegistry
 from ..membership.request_limits import RequestLimits
+from ..operations.node_settings import WarmupSettings
 from ..routing.dispatch import Dispatcher
 from ..routing.load import ServerLoad
+from ..routing.request_shares import WARMUP_HOLD_S
+from ..routing.request_shares import RequestShare
 from ..routing.request_shares import ShareCandidate
 from ..routing.request_shares import TokenBucket
+from ..routing.request_shares import combine_shares
 from ..routing.request_shares import compute_share
+from ..routing.request_shares import compute_warmup_share
 from ..routing.request_shares import rank_node
 from ..routing.subsets import SubsetMember
 from ..routing.subsets import choose_subset
 
 # time for which a server outside of the subset is used
 BORROW_TIME_S = 3.0
+# While a smaller part of the servers in a node's failure domain is warm, the node uses servers of
+# all failure domains. The load of a failure domain fits into its servers with about this reserve.
+MIN_WARM_FRACTION = 0.75
 
 
 class Dispatchers:
@@ -30,6 +38,7 @@
     :param failure_domain: the failure domain of this node.
     :param registry: the registered servers.
     :param request_limits: the limits that servers name.
+    :param is_warmup_limited: returns whether requests to cold servers of a service are limited.
     :param on_server_replaced: called with the address of a server that has restarted.
     """
 
@@ -40,6 +49,7 @@
         failure_domain: str,
         registry: ServerRegistry,
         request_limits: RequestLimits,
+        is_warmup_limited: t.Callable[[str], bool] = lambda service: False,
         on_server_replaced: t.Callable[[str], None] = lambda address: None,
     ) -> None:
         self._node_id = node_id
@@ -60,6 +70,16 @@
         self.list_share_candidates: t.Callable[[], list[ShareCandidate]] = lambda: [
             ShareCandidate(node_id, failure_domain)
         ]
+        # Returns the nodes that may send requests to cold servers, including this one and those
+        # that have failed; empty while this node may not know most of them.
+        self.list_warmup_candidates: t.Callable[[], list[ShareCandidate]] = lambda: [
+            ShareCandidate(node_id, failure_domain)
+        ]
+        self.warmup_settings = WarmupSettings()
+        self._is_warmup_limited = is_warmup_limited
+        self._warmup_candidates: list[ShareCandidate] = []
+        self._warmup_ranks: dict[str, int | None] = {}
+        self._cold_ids: set[str] = set()
         self._rng = random.Random()
         self._by_service: dict[str, Dispatcher] = {}
         # Called with a dispatcher when one of its requests has to wait for a server.
@@ -108,8 +128,15 @@
             self._refresh_dispatcher(dispatcher)
 
     def follow_share_candidates(self) -> None:
-        """Apply a change of the nodes that share the limits which servers name."""
-        if self._request_buckets and self.list_share_candidates() != self._share_candidates:
+        """Apply a change of the nodes that share the limits, and the end of warm-ups."""
+        if not self._request_buckets and not self._cold_ids:
+            return
+        cold_ids = {limit.server_id for limit in self._request_limits.list_warmups()}
+        if (
+            cold_ids != self._cold_ids
+            or self.list_share_candidates() != self._share_candidates
+            or (cold_ids and self.list_warmup_candidates() != self._warmup_candidates)
+        ):
             self.apply_request_limits()
 
     def apply_request_limits(self) -> None:
@@ -139,6 +166,7 @@
             self._share_candidates = candidates
             self._share_ranks.clear()
         buckets = {}
+        shares: dict[tuple[str, int], RequestShare] = {}
         ranks = {}
         for limit in self._request_limits.list_limits():
             registered = self._registry.get_server(limit.server_id)
@@ -146,17 +174,61 @@
                 continue
             rank = ranks[limit.server_id] = self._get_share_rank(registered)
             share = compute_share(limit.requests_per_s, rank=rank, node_count=len(candidates))
-            key = (limit.server_id, limit.started_ms)
+            shares[limit.server_id, limit.started_ms] = share
+        named = set(shares)
+        warmup_shares = self._compute_warmup_shares()
+        for key, share in warmup_shares.items():
+            shares[key] = combine_shares(shares[key], share) if key in shares else share
+        for key, share in shares.items():
+            hold_s = WARMUP_HOLD_S if key in warmup_shares else 0.0
             bucket = self._request_buckets.get(key)
             if bucket is None:
-                bucket = TokenBucket(share=share, now=now)
+                bucket = TokenBucket(share=share, now=now, hold_s=hold_s)
             else:
-                bucket.set_share(share, now)
+                bucket.set_share(share, now, hold_s=hold_s)
+            bucket.limits_probes = key in named
             buckets[key] = bucket
         self._request_buckets = buckets
         self._share_ranks = ranks
         return self._get_shared() != shared_before
 
+    def _compute_warmup_shares(self) -> dict[tuple[str, int], RequestShare]:
+        """Return this node's shares of the limits of cold servers."""
+        warmups = self._request_limits.list_warmups()
+        self._cold_ids = {limit.server_id for limit in warmups}
+        if not warmups:
+            return {}
+        candidates = self.list_warmup_candidates()
+        if candidates != self._warmup_candidates:
+            self._warmup_candidates = candidates
+            self._warmup_ranks.clear()
+        shares = {}
+        ranks = {}
+        for limit in warmups:
+            registered = self._registry.get_server(limit.server_id)
+            if registered is None:
+                continue
+            server = registered.server
+            if server.server_id in self._warmup_ranks:
+                rank = self._warmup_ranks[server.server_id]
+            else:
+                rank = rank_node(
+                    self._node_id,
+                    server_id=server.server_id,
+                    failure_domain=server.failure_domain,
+                    nodes=candidates,
+                )
+            ranks[server.server_id] = rank
+            settings = self.warmup_settings
+            shares[server.server_id, registered.listing.started_ms] = compute_warmup_share(
+                limit.requests_per_s,
+                bound=settings.overage * limit.requests_per_s + settings.slack,
+                rank=rank,
+                node_count=len(candidates),
+            )
+        self._warmup_ranks = ranks
+        return shares
+
     def _get_shared(self) -> dict[tuple[str, int], bool]:
         """Return whether this node has a share, for each server that names a limit."""
         return {
@@ -276,6 +348,9 @@
             load.request_bucket = bucket
             load.warmup_ends_at = registered.warmup_ends_at
             loads[server.server_id] = load
+        requires_health = self._is_warmup_limited(dispatcher.service)
+        for load in loads.values():
+            load.requires_health = requires_health
         dispatcher.loads = loads
         dispatcher.path.server_count = len(loads)
 
@@ -291,10 +366,23 @@
             failure_domain=self._failure_domain,
             node_count=self.node_count,
             local_node_count=self._local_node_count,
+            use_local=self._has_enough_warm_servers(dispatcher.service),
         )
         dispatcher.node_count = max(1.0, self.node_count * len(subset) / max(1, len(usable)))
         return set(subset)
 
+    def _has_enough_warm_servers(self, service: str) -> bool:
+        """Return whether the servers in this node's failure domain can carry its load."""
+        if not self._cold_ids:
+            return True
+        local_ids = [
+            registered.server.server_id
+            for registered in self._registry.list_usable(service)
+            if registered.server.failure_domain == self._failure_domain
+        ]
+        warm_count = sum(server_id not in self._cold_ids for server_id in local_ids)
+        return warm_count >= MIN_WARM_FRACTION * len(local_ids)
+
     def _get_request_bucket(self, registered: RegisteredServer) -> TokenBucket | None:
         """Return this node's share of the limit that a server names, ``None`` without a limit."""
         if not self._request_buckets:
--- a/src/jasmineseam/node/fleet_notices.py
+++ b/src/jasmineseam/node/fleet_notices.py
@@ -7,6 +7,7 @@
 from ..fleet.spreading import Fleet
 from ..membership.registry import Departure
 from ..membership.registry import ServerRegistry
+from ..membership.request_limits import SOURCE_WARMUP
 from ..membership.request_limits import RequestLimit
 from ..routing.quarantine import CRASH_THRESHOLD
 from ..routing.quarantine import CrashReport
@@ -91,6 +92,22 @@
             if not info.leaving
         ]
 
+    def list_warmup_candidates(self) -> list[ShareCandidate]:
+        """Return the nodes that share the limits of cold servers, including this one.
+
+        Nodes that have failed keep their shares until they are forgotten, because they may be
+        paused, or cut off from this node. The result is empty as long as this node may not know
+        most of the nodes.
+        """
+        if not self.fleet.has_met_fleet():
+            return []
+        membership = self.fleet.membership
+        return [
+            ShareCandidate(info.vm_id, info.failure_domain)
+            for info in (*membership.list_peers(), *membership.list_failed(), membership.own)
+            if not info.leaving
+        ]
+
     def sends_trial(self, fingerprint: bytes) -> bool:
         """Return whether this node sends the trial of a request after its quarantine."""
         node_ids = [candidate.vm_id for candidate in self.list_share_candidates()]
@@ -105,6 +122,17 @@
             )
             return
         shares = self._gateway.dispatchers.get_request_shares()
+        if limit.source == SOURCE_WARMUP:
+            _limits_logger.info(
+                "Server {} is cold for {:.2f} s, according to {}; it accepts {:g} requests/s from "
+                "all nodes, and this node sends at most {:.3g}/s.",
+                limit.server_id,
+                limit.left_s,
+                source,
+                limit.requests_per_s,
+                shares.get(limit.server_id, 0.0),
+            )
+            return
         _limits_logger.info(
             "Server {} accepts {:g} requests/s from all nodes, according to {}; "
             "this node sends at most {:.3g}/s.",
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -35,6 +35,7 @@
 from .responses import build_not_run_response
 from .responses import build_response
 from .responses import build_unknown_outcome_response
+from .warmups import Warmups
 
 # Retry-After time of a response to a request that arrives before the first routing table.
 STARTING_RETRY_AFTER_S = 0.5
@@ -73,6 +74,7 @@
         self._header_codec = header_codec
         self._request_log = request_log
         self.request_limits = RequestLimits(clock=time.monotonic)
+        self.warmups = Warmups(registry=registry, request_limits=self.request_limits)
         self._route_index: RouteIndex | None = None
         self._service_balancer = WeightedRoundRobin()
         self._timeout_estimators: dict[str, CallerTimeoutEstimator] = {}
@@ -81,6 +83,7 @@
             failure_domain=failure_domain,
             registry=registry,
             request_limits=self.request_limits,
+            is_warmup_limited=self.warmups.is_limited,
             on_server_replaced=lambda address: self.connections.discard(address),
         )
         self.attempts = AttemptRunner(
@@ -123,7 +126,8 @@
         """Act on what a response says of the server beyond its load.
 
         A server that is leaving gets no new requests. One that has sent a retry time gets none
-        until that time is over. The limit that a server names is shared with the other nodes.
+        until that time is over. The limit that a server names, and that it is cold, is shared with
+        the other nodes.
 
         :param sent_at: monotonic time at which the request was sent, in seconds.
         :param probe: whether the response answers a probe.
@@ -132,6 +136,13 @@
             self.on_server_leaving(load.server_id, load.started_ms)
         if head.retry_after_s > 0.0:
             self.dispatchers.pause_server(load, time.monotonic() + head.retry_after_s)
+        if head.warmup_left_s is not None and (head.signed or probe):
+            warmup = self.warmups.observe_response(
+                load.server_id, load.started_ms, head.warmup_left_s, sent_at=sent_at
+            )
+            if warmup is not None:
+                self.dispatchers.apply_request_limits()
+                self.on_request_limit(warmup)
         if head.request_limit_per_s is None and not (head.signed or head.not_run or probe):
             # A response that may not be the server's own withdraws no limit.
             return
@@ -151,6 +162,7 @@
         if self._route_index is not None and table.version <= self._route_index.table.version:
             return False
         self._route_index = RouteIndex(table=table)
+        self.warmups.set_services(table.services)
         self._service_balancer = WeightedRoundRobin()
         names = {route.name for route in table.routes}
         self._timeout_estimators = {
@@ -170,6 +182,7 @@
     def refresh_servers(self) -> None:
         """Update all dispatchers from the server registry."""
         if self._route_index is not None:
+            self.warmups.observe_listings()
             self.dispatchers.refresh_servers(self._route_index.services)
 
     async def handle_request(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -78,6 +78,12 @@
             if limit.requests_per_s is not None
         ]
 
+    def read_cold_servers():
+        return [
+            (limit.left_s, {"server": limit.server_id})
+            for limit in gateway.request_limits.list_warmups()
+        ]
+
     def read_request_shares():
         return [
             (requests_per_s, {"server": server_id})
@@ -112,6 +118,9 @@
         "Part of the limit that this node may use.",
         read_request_shares,
     )
+    add_gauge(
+        provider, "servers.warmup_left", "s", "Until a cold server is warm.", read_cold_servers
+    )
     add_gauge(provider, "requests.quarantined", "1", "They crash servers.", read_quarantined)
     add_counter(provider, "crashes", "1", "Of servers under requests of this node.", read_crashes)
     add_gauge(provider, "paths.lost", "1", "Services out of reach.", read_lost_paths)
--- a/src/jasmineseam/routing/subsets.py
+++ b/src/jasmineseam/routing/subsets.py
@@ -47,6 +47,7 @@
     failure_domain: str,
     node_count: int,
     local_node_count: int,
+    use_local: bool = True,
 ) -> list[str]:
     """Return the ids of the servers that a node uses.
 
@@ -58,6 +59,7 @@
     :param failure_domain: failure domain of the node.
     :param node_count: number of all nodes.
     :param local_node_count: number of nodes in the failure domain.
+    :param use_local: ``False`` if servers of all failure domains are used in any case.
 
     >>> servers = [SubsetMember(f"s{number}", "d1" if number < 3 else "d2") for number in range(9)]
     >>> sorted(choose_subset(servers, node_id="n", failure_domain="d1", node_count=4,
@@ -66,7 +68,7 @@
     """
     candidates = list(servers)
     local = [server for server in candidates if server.failure_domain == failure_domain]
-    if len(local) >= MIN_LOCAL_SERVERS:
+    if use_local and len(local) >= MIN_LOCAL_SERVERS:
         candidates = local
         node_count = local_node_count
     size = compute_subset_size(len(candidates), node_count)
