Test the requests to cold servers on virtual time

Simulated servers may restart under the same id and name their warm-up in health responses, with or without doing so in the listing.

--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -32,6 +32,7 @@
 from jasmineseam.operations.node_settings import NodeSettings
 from jasmineseam.operations.node_settings import NodeVm
 from jasmineseam.operations.node_settings import RetryBudgetSettings
+from jasmineseam.operations.node_settings import WarmupSettings
 from jasmineseam.operations.output import LineOutput
 from jasmineseam.operations.settings import MetricSettings
 from jasmineseam.peers.messages import ServersNotice
@@ -53,6 +54,7 @@
 CONTACT_COUNT = 3
 MAINTENANCE_INTERVAL_S = 0.5
 RETRY_SHARE = 0.2
+NO_WARMUP = WarmupSettings()
 # time from a crash of a server to its next start, and to the removal of its old listing
 RESTART_S = 2.0
 LISTING_LAPSE_S = 3.0
@@ -100,6 +102,10 @@
         self.down = False
         self.running = 0
         self._starts = 1
+        self.cold_until = float("-inf")
+        self._lists_warmup = False
+        # [start, end, time of the first health response that names it] of each time it is cold
+        self.cold_periods = []
         self._simulation = simulation
         self._free_slots = asyncio.Semaphore(slots)
         self._exchanges = set()
@@ -117,6 +123,40 @@
         self.limit_per_s = limit_per_s
         self.limit_changes.append((get_time(), limit_per_s))
 
+    def turn_cold(self, warmup_s):
+        """Be cold for a time from now on; health responses name it."""
+        self.cold_until = get_time() + warmup_s
+        self.cold_periods.append([get_time(), self.cold_until, None])
+
+    def restart_cold(self, warmup_s, *, down_s=1.5, listed_after_s=0.3, lists_warmup=False):
+        """Break all connections, and start again after a while under the same id.
+
+        :param lists_warmup: whether the listing names the warm-up, as health responses do.
+        """
+        self.down = True
+        self._lists_warmup = lists_warmup
+        for exchange in list(self._exchanges):
+            if not exchange.done():
+                exchange.set_exception(AttemptOutcomeUnknownError("no-response"))
+
+        async def restart():
+            await asyncio.sleep(down_s)
+            self._starts += 1
+            self._free_slots = asyncio.Semaphore(self.slots)
+            self.running = 0
+            self.down = False
+            self.turn_cold(warmup_s)
+            await asyncio.sleep(listed_after_s)
+            listed = ServerChange(server_id=self.server_id, listing=self.build_listing())
+            self._simulation.publish_servers([listed])
+
+        self._simulation.spawn(restart())
+
+    @property
+    def start_number(self):
+        """The number of starts so far."""
+        return self._starts
+
     def build_listing(self):
         """Return the listing of the current start."""
         server = Server(
@@ -126,7 +166,13 @@
             failure_domain=self.domain,
             leaving=False,
         )
-        return ServerListing(server=server, slots=self.slots, started_ms=self._starts, sequence=1)
+        return ServerListing(
+            server=server,
+            slots=self.slots,
+            warmup_s=max(0.0, self.cold_until - get_time()) if self._lists_warmup else 0.0,
+            started_ms=self._starts,
+            sequence=1,
+        )
 
     def crash(self, path=""):
         """Break all connections, and start again after a while under a new id."""
@@ -201,6 +247,15 @@
             headers["Server-Limit"] = f"{self.limit_per_s:g}"
         return headers
 
+    def build_warmup_notice(self):
+        """Return the header of health responses that names the time for which it stays cold."""
+        left_s = self.cold_until - get_time()
+        if left_s <= 0.0:
+            return {}
+        if self.cold_periods[-1][2] is None:
+            self.cold_periods[-1][2] = get_time()
+        return {"Jasmineseam-Warmup-Ms": f"{1000 * left_s:.0f}"}
+
     def record_told(self, node):
         """Record that a node passes on a response that names the limit."""
         if self.limit_per_s is not None:
@@ -237,7 +292,7 @@
     def __init__(self, *, node, server):
         self._node = node
         self.server = server
-        self._start_id = server.server_id
+        self._start_id = (server.server_id, server.start_number)
         self._request = None
         self.broken = asyncio.get_running_loop().create_future()
         self.reused = False
@@ -247,7 +302,8 @@
         return not self.broken.done() and self._is_open_at_server()
 
     def _is_open_at_server(self):
-        return not self.server.down and self.server.server_id == self._start_id
+        server = self.server
+        return not server.down and (server.server_id, server.start_number) == self._start_id
 
     async def send(self, method, path, headers, body):
         if not self.is_usable():
@@ -263,6 +319,7 @@
             if not self._is_open_at_server():
                 raise AttemptOutcomeUnknownError("no-response")
             status, headers = 200, {"Jasmineseam-Instance-Id": self.server.server_id}
+            headers.update(self.server.build_warmup_notice())
         else:
             status, headers = await self._run_until_broken(self.server.run(path, request_headers))
         headers.update(self.server.build_notices())
@@ -493,6 +550,7 @@
             probes_per_s=60.0,
             grace_s=6.0,
             longest_lifetime_s=5.0,
+            warmup=simulation.warmup,
         )
         node = Node(
             settings=settings,
@@ -556,6 +614,8 @@
     :param other_server_count: number of servers of a second service.
     :param seed: seed of all random numbers.
     :param loss: fraction of the datagrams between nodes that are lost.
+    :param warmup_requests_per_s: requests per second that a cold server accepts, 0 for no limit.
+    :param warmup: tolerance of this limit.
     """
 
     def __init__(
@@ -568,7 +628,11 @@
         loss=0.0,
         work_s=0.08,
         retry_allowance=200.0,
+        warmup_requests_per_s=0.0,
+        warmup=NO_WARMUP,
     ):
+        self.warmup_requests_per_s = warmup_requests_per_s
+        self.warmup = warmup
         self.rng = random.Random(seed)
         self.delay_s = 0.001
         self.loss = loss
@@ -619,7 +683,7 @@
         self._names_by_host[simulated.node.settings.vm.address] = name
         if knows_state:
             node = simulated.node
-            node._apply_routing_table(_build_table(), "store")
+            node._apply_routing_table(_build_table(self.warmup_requests_per_s), "store")
             node.registry.replace_listings(list(self._listings.values()), self._position)
             node._publish_own_state()
         return simulated
@@ -785,9 +849,12 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def _build_table():
+def _build_table(warmup_requests_per_s):
     services = [
-        ServiceInfo(name=name, health_path=HEALTH_PATH) for name in (SERVICE, OTHER_SERVICE)
+        ServiceInfo(
+            name=name, health_path=HEALTH_PATH, warmup_requests_per_s=warmup_requests_per_s
+        )
+        for name in (SERVICE, OTHER_SERVICE)
     ]
     routes = [
         Route(
