--- a/src/jasmineseam/fleet/outbox.py
+++ b/src/jasmineseam/fleet/outbox.py
@@ -7,6 +7,7 @@
 from ..membership.evacuations import EvacuationState
 from ..membership.nodes import NodeInfo
 from ..membership.registry import Departure
+from ..membership.request_limits import SOURCE_WARMUP
 from ..membership.request_limits import RequestLimit
 from ..peers.messages import ServersNotice
 from ..routing.quarantine import CrashReport
@@ -32,6 +33,7 @@
         "_nodes",
         "_servers",
         "_suspected",
+        "_warmups",
     )
 
     def __init__(self) -> None:
@@ -53,7 +55,9 @@
         self._nodes.update((info.vm_id, info) for info in nodes)
         self._suspected.update(suspected)
         self._departures.update((departure.server_id, departure) for departure in departures)
-        self._limits.update((limit.server_id, limit) for limit in request_limits)
+        for limit in request_limits:
+            limits = self._warmups if limit.source == SOURCE_WARMUP else self._limits
+            limits[limit.server_id] = limit
         self._crashes.extend(crashes)
         if servers is not None:
             self._servers.append(servers)
@@ -65,6 +69,7 @@
             ("suspected", list(self._suspected.items()), MAX_NODES_PER_UPDATE),
             ("departures", list(self._departures.values()), MAX_DEPARTURES_PER_UPDATE),
             ("request_limits", list(self._limits.values()), MAX_LIMITS_PER_UPDATE),
+            ("warmups", list(self._warmups.values()), MAX_LIMITS_PER_UPDATE),
             ("crashes", self._crashes, MAX_CRASHES_PER_UPDATE),
         )
         servers = self._servers
@@ -84,6 +89,7 @@
         self._departures: dict[str, Departure] = {}
         self._servers: list[ServersNotice] = []
         self._limits: dict[str, RequestLimit] = {}
+        self._warmups: dict[str, RequestLimit] = {}
         self._crashes: list[CrashReport] = []
         self._evacuations: EvacuationState | None = None
 
--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -55,6 +55,12 @@
 SILENCE_POLL_INTERVAL_S = 0.005
 # If the timer for this fires later than this, the node itself was delayed, in seconds.
 MAX_TIMER_DELAY_S = 0.05
+# A health response shows for this time that a server is not cold, in seconds. A server that
+# restarts takes longer until it accepts requests.
+MIN_HEALTH_LIFETIME_S = 1.0
+# The time is at least this many intervals between probes, so that few probes don't concentrate the
+# requests on few servers.
+HEALTH_LIFETIME_INTERVALS = 3.0
 _logger = logbook.Logger("probes")
 
 
@@ -252,7 +258,10 @@
 
     def _may_ask(self, dispatcher: Dispatcher, load: ServerLoad, now: float) -> bool:
         """Return whether the owner may provide a report of a server that this node needs."""
-        if load.request_bucket is not None or now - load.reported_at <= MIN_ASK_REPORT_AGE_S:
+        bucket = load.request_bucket
+        if bucket is not None and bucket.limits_probes:
+            return False
+        if now - load.reported_at <= MIN_ASK_REPORT_AGE_S:
             return False
         share = self._grants.get_share(dispatcher.service, load.failure_domain)
         return share.granted_per_s > 0.0
@@ -262,8 +271,9 @@
 
         A server that names a limit on requests gets few probes, too.
         """
-        if load.request_bucket is not None:
-            interval_s = load.request_bucket.share.node_count / PROBES_PER_S
+        bucket = load.request_bucket
+        if bucket is not None and bucket.limits_probes:
+            interval_s = bucket.share.node_count / PROBES_PER_S
             return now - load.last_probe_at >= interval_s
         share = self._grants.get_share(dispatcher.service, load.failure_domain)
         in_subset = load.borrowed_until is None
@@ -346,6 +356,10 @@
                 connection.close()
         if head.server_id and head.server_id != load.server_id:
             return
+        interval_s = self._compute_min_interval_s(dispatcher, load)
+        load.health_valid_until = sent_at + max(
+            MIN_HEALTH_LIFETIME_S, HEALTH_LIFETIME_INTERVALS * interval_s
+        )
         self._gateway.record_server_state(load, head, sent_at, probe=True)
         if head.report is None:
             return
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -314,6 +314,8 @@
     :param request_limits: limits that servers have named, moved or withdrawn.
     :param crashes: crashes of servers under requests.
     :param evacuations: the evacuated failure domains, ``None`` if they have not changed.
+    :param warmups: limits of cold servers. They are apart from *request_limits*, since nodes of
+        earlier builds would take them for limits without an end and return them as such.
     """
 
     nodes: list[NodeInfo] = []
@@ -323,6 +325,7 @@
     request_limits: list[RequestLimit] = []
     crashes: list[CrashReport] = []
     evacuations: EvacuationState | None = None
+    warmups: list[RequestLimit] = []
 
 
 class StateRequest(Message, tag="state-request"):
@@ -349,6 +352,7 @@
     :param request_limits: limits that servers name or have withdrawn lately.
     :param crashes: crashes of servers under requests.
     :param evacuations: the evacuated failure domains; ``None`` from builds without evacuations.
+    :param warmups: limits of cold servers.
     """
 
     table: bytes = b""
@@ -360,6 +364,7 @@
     request_limits: list[RequestLimit] = []
     crashes: list[CrashReport] = []
     evacuations: EvacuationState | None = None
+    warmups: list[RequestLimit] = []
 
 
 class RelayedRequest(Message, tag="relayed-request"):
