--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -280,6 +280,11 @@
         probes_per_s = share.own_per_s if in_subset else share.borrower_per_s
         return self._own_probes.may_probe(load.server_id, probes_per_s, now)
 
+    def _compute_equal_share_interval_s(self, dispatcher: Dispatcher) -> float:
+        """Return the interval of probes if all nodes that use a server had an equal share of them."""
+        limit_per_s = max(0.001, USABLE_LIMIT_FRACTION * self.max_probes_per_s)
+        return dispatcher.node_count / limit_per_s
+
     def _start_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> asyncio.Task:
         load.last_probe_at = time.monotonic()
         self._own_probes.record_probe(load.server_id, load.last_probe_at)
@@ -356,7 +361,7 @@
                 connection.close()
         if head.server_id and head.server_id != load.server_id:
             return
-        interval_s = self._compute_min_interval_s(dispatcher, load)
+        interval_s = self._compute_equal_share_interval_s(dispatcher)
         load.health_valid_until = sent_at + max(
             MIN_HEALTH_LIFETIME_S, HEALTH_LIFETIME_INTERVALS * interval_s
         )
