Document refused keys; log removed keys and the age of the routing table

Operators could not see whose keys a routing table removes, nor whether a node's table is confirmed.

--- a/src/jasmineseam/node/authentication.py
+++ b/src/jasmineseam/node/authentication.py
@@ -81,6 +81,25 @@
         self._fail_closed = fail_closed
         self._max_age_s = max_age_s
 
+    def get_table_age_s(self) -> float:
+        """Return the time since this node's routing table was confirmed, in seconds."""
+        return float("inf") if self._confirmation is None else self._confirmation.get_age_s()
+
+    def log_removed_keys(self, old: RouteIndex | None, new: RouteIndex) -> None:
+        """Log how many keys of which accounts a new routing table removes."""
+        if old is None:
+            return
+        for account in old.table.accounts:
+            removed = sum(new.find_account_by_hash(key) is None for key in account.key_hashes)
+            if removed:
+                _logger.info(
+                    "Routing table {:08x} removes {} of {} keys of client account {}.",
+                    new.table.version,
+                    removed,
+                    len(account.key_hashes),
+                    account.name,
+                )
+
     def authenticate(self, proxied: ProxiedRequest) -> None:
         """Find the account of a request, and remove the key from its headers.
 
@@ -192,7 +211,6 @@
         if reason in (REASON_NO_KEY, REASON_UNKNOWN_KEY):
             raise NotRunError(reason, 401)
         now = time.monotonic()
-        age_s = float("inf") if self._confirmation is None else self._confirmation.get_age_s()
         if now - self._logged_at.get(reason, float("-inf")) >= LOG_INTERVAL_S:
             self._logged_at[reason] = now
             _logger.warning(
@@ -201,7 +219,7 @@
                 proxied.head.request_id,
                 reason,
                 self._get_index().table.version,
-                age_s,
+                self.get_table_age_s(),
                 self.refusal_counts[reason],
             )
         raise NotRunError(reason, 503, UNCONFIRMED_RETRY_AFTER_S)
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -160,7 +160,9 @@
             oldest = self._route_index.table.version + int(not replace)
             if table.version < oldest:
                 return False
-        self._route_index = RouteIndex(table=table)
+        index = RouteIndex(table=table)
+        self.authenticator.log_removed_keys(self._route_index, index)
+        self._route_index = index
         self._service_balancer = WeightedRoundRobin()
         names = {route.name for route in table.routes}
         self._timeout_estimators = {
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from opentelemetry.sdk.metrics import MeterProvider
 
 from ..membership.registry import ServerRegistry
@@ -94,6 +96,10 @@
         counts = gateway.authenticator.refusal_counts
         return [(count, {"reason": reason}) for reason, count in counts.items()]
 
+    def read_table_age():
+        age_s = gateway.authenticator.get_table_age_s()
+        return [(age_s, {})] if math.isfinite(age_s) else []
+
     gateway.record_duration = add_histogram(
         provider, "request.duration", "s", "Time to the answer.", REQUEST_DURATION_BUCKET_BOUNDS_S
     )
@@ -124,4 +130,5 @@
     add_counter(
         provider, "accounts.refused", "1", "Requests without a valid key.", read_refused_keys
     )
+    add_gauge(provider, "table.age", "s", "Since the routing table was confirmed.", read_table_age)
     add_gauge(provider, "servers.age", "s", "Age of the list of servers.", read_server_list_age)
--- a/src/jasmineseam/operations/explanation.py
+++ b/src/jasmineseam/operations/explanation.py
@@ -24,6 +24,10 @@
     "starting": "the node had not loaded a routing table yet",
     "fault": "an internal error occurred in the node; its log has the details",
     "cancelled": "the caller closed its connection before the response was ready",
+    "no-key": "the route needs the key of a client account, and the request had none",
+    "unknown-key": "no client account of the current routing table holds the request's key",
+    "configuration-outdated": "the key was unknown and the routing table may have been outdated",
+    "configuration-unconfirmed": "the routing table was not confirmed for too long (fail-closed)",
     "no-route": "no route of the current routing table matches the host and path",
     "overloaded": "no server had a free slot in time to meet the target latency",
     "queue-too-long": "the expected wait in the queue was too long to meet the deadline",
@@ -203,6 +207,8 @@
     ]
     if line.relay:
         rows.append(f"  run for another node, relay {line.relay}")
+    if line.account:
+        rows.append(f"  client account {line.account}")
     if line.fingerprint:
         rows.append(f"  fingerprint {line.fingerprint}")
     if line.tried_before_ms:
--- a/tests/test_key_revocation.py
+++ b/tests/test_key_revocation.py
@@ -304,3 +304,32 @@
             assert deployment.count_runs("q-1") == 0
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("fail_closed", [False, True])
+def test_node_that_can_not_confirm_its_table(fail_closed):
+    """The settings reach the decision, and the node accepts keys again after the outage."""
+
+    async def scenario(deployment):
+        node = await start_node(deployment, fail_closed=fail_closed, key_revocation_s=3.0)
+
+        async def get_status(key, path="/safe/1"):
+            status, headers, _ = await deployment.send_request(node, path, **authorize(key))
+            assert (status == 503) == ("Retry-After" in headers)
+            return status
+
+        confirmation = node.state_sync.table_confirmation
+        await wait_until(confirmation.is_current, "the table is confirmed")
+        assert (await get_status(KEY), await get_status("k-unknown")) == (200, 401)
+        port = int(deployment.store_address.rpartition(":")[2])
+        deployment.store.behaviour.failing_ports = [port]
+        deployment.store.behaviour.failure = "reset"
+        await wait_until(lambda: confirmation.get_age_s() > 3.0, "the table is not confirmed")
+        assert await get_status(KEY) == (503 if fail_closed else 200)
+        assert await get_status("k-unknown") == 503
+        assert await get_status("k-unknown", "/open/1") == 200
+        deployment.store.behaviour.failing_ports = []
+        await wait_until(confirmation.is_current, "the table is confirmed again")
+        assert (await get_status(KEY), await get_status("k-unknown")) == (200, 401)
+
+    run_scenario(scenario)
