--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -281,8 +281,8 @@
         return self._own_probes.may_probe(load.server_id, probes_per_s, now)
 
     def _compute_equal_share_interval_s(self, dispatcher: Dispatcher) -> float:
-        """Return the interval of probes if all nodes that use a server had an equal share of them."""
-        limit_per_s = max(0.001, USABLE_LIMIT_FRACTION * self.max_probes_per_s)
+        """Return the interval of probes if all nodes that use a server shared them equally."""
+        limit_per_s = max(0.001, self.max_probes_per_s)
         return dispatcher.node_count / limit_per_s
 
     def _start_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> asyncio.Task:
