--- a/src/jasmineseam/node/probe_grants.py
+++ b/src/jasmineseam/node/probe_grants.py
@@ -50,14 +50,6 @@
 _logger = logbook.Logger("probes")
 
 
-class _PendingRequest:
-    __slots__ = ("answers", "server_ids")
-
-    def __init__(self, server_ids: list[str]) -> None:
-        self.server_ids = server_ids
-        self.answers: asyncio.Queue[ProbeGrant] = asyncio.Queue()
-
-
 class _OwnedService:
     """What this node knows as the owner of a service."""
 
@@ -102,7 +94,8 @@
         self._get_limit = get_limit
         self._send = send
         self._owned: dict[str, _OwnedService] = {}
-        self._pending: dict[int, _PendingRequest] = {}
+        # answers to the requests of this node, by their number
+        self._pending: dict[int, asyncio.Queue[ProbeGrant]] = {}
         self._last_number = 0
         # requests in a row that the owner did not answer, by service
         self._unanswered: collections.Counter[str] = collections.Counter()
@@ -186,21 +179,21 @@
             server_ids=server_ids,
             count=min(count, len(server_ids)),
         )
-        pending = self._pending[number] = _PendingRequest(server_ids)
+        answers = self._pending[number] = asyncio.Queue()
         sent_at = time.monotonic()
         answered = False
         self.result_counts["asked"] += 1
         try:
             self._send_to(owner, message)
             async with asyncio.timeout(GRANT_LIFETIME_S):
-                answer = await pending.answers.get()
+                answer = await answers.get()
                 answered = True
             self._unanswered[service] = 0
             await self._use_answer(dispatcher, answer, sent_at, owner, probe)
             remaining_s = sent_at + GRANT_LIFETIME_S - time.monotonic()
             if answer.awaited and remaining_s > 0.0:
                 async with asyncio.timeout(remaining_s):
-                    answer = await pending.answers.get()
+                    answer = await answers.get()
                 self._record_loads(dispatcher, answer.loads, sent_at)
         except TimeoutError:
             if not answered:
@@ -213,9 +206,9 @@
         if isinstance(message, ProbeRequest):
             self._answer(message)
         elif isinstance(message, ProbeGrant):
-            pending = self._pending.get(message.number)
-            if pending is not None:
-                pending.answers.put_nowait(message)
+            answers = self._pending.get(message.number)
+            if answers is not None:
+                answers.put_nowait(message)
         elif isinstance(message, ProbeReports):
             self._handle_reports(message)
 
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -450,8 +450,8 @@
 
     sender_id: str
     number: int
-    server_ids: list[str] = []
-    loads: list[SharedLoad] = []
+    server_ids: t.Annotated[list[str], msgspec.Meta(max_length=MAX_PROBE_SERVERS)] = []
+    loads: t.Annotated[list[SharedLoad], msgspec.Meta(max_length=MAX_PROBE_SERVERS)] = []
     awaited: bool = False
     shares_reports: bool = False
 
--- a/tests/test_probes_by_demand.py
+++ b/tests/test_probes_by_demand.py
@@ -24,7 +24,10 @@
 SETTLE_S = 2.0
 # probes of a server in any second, as a multiple of the limit
 STEADY_FACTOR = 1.1
-FAULT_FACTOR = 1.5
+FAULT_FACTOR = 1.1
+# Failed nodes are counted for 30 s. After that, each of the two sides of a cut uses the limit.
+LONG_CUT_S = 36.0
+LONG_CUT_FACTOR = 2.0
 
 
 class ProbeMonitor:
@@ -72,10 +75,16 @@
         node.probe_grants.refresh()
 
 
-def find_owner(simulation):
-    """Return the node that grants the probes of the service in the first failure domain."""
+def cut_fleet(simulation):
+    """Cut the nodes with odd numbers off from the others."""
+    cut_off = {name for name in simulation.nodes if int(name[1:]) % 2}
+    simulation.is_cut = lambda sender, receiver: (sender in cut_off) != (receiver in cut_off)
+
+
+def find_owner(simulation, domain=DOMAINS[0]):
+    """Return the node that grants the probes of the service in a failure domain."""
     for simulated in simulation.nodes.values():
-        if simulated.domain == DOMAINS[0] and SERVICE in simulated.node.probe_grants.list_owned():
+        if simulated.domain == domain and SERVICE in simulated.node.probe_grants.list_owned():
             return simulated
     raise AssertionError("no owner")
 
@@ -118,6 +127,9 @@
         # Half of the requests to the owner stay without an answer.
         ("heavy-loss", 0.6),
         ("joins", 0.9),
+        ("killed cut", 0.9),
+        ("loss joins", 0.9),
+        ("slow killed", 0.9),
     ],
 )
 def test_faults_keep_the_limit(fault, fresh_share, monkeypatch):
@@ -132,21 +144,20 @@
         load = asyncio.create_task(simulation.send_load(250.0, 7.0))
         await asyncio.sleep(1.0)
         owner = find_owner(simulation)
-        if fault == "killed":
-            owner.kill()
-        elif fault == "slow":
+        faults = fault.split()
+        if "slow" in faults:
             simulation.node_delays_s[owner.name] = 3.0
             simulation.spawn(end_delay(simulation, owner.name))
-        elif fault == "cut":
-            cut_off = {name for name in simulation.nodes if int(name[1:]) % 2}
-            simulation.is_cut = lambda sender, receiver: (
-                (sender in cut_off) != (receiver in cut_off)
-            )
-        elif fault == "loss":
+            owner = find_owner(simulation, DOMAINS[1])
+        if "killed" in faults:
+            owner.kill()
+        if "cut" in faults:
+            cut_fleet(simulation)
+        if "loss" in faults:
             simulation.loss = 0.05
-        elif fault == "heavy-loss":
+        if "heavy-loss" in faults:
             simulation.loss = 0.3
-        else:
+        if "joins" in faults:
             for number in range(30, 45):
                 simulation.start_node(f"n{number}")
             set_limit(simulation, limit_per_s)
@@ -158,6 +169,22 @@
     assert monitor.compute_fresh_share(since=ended_at[0]) >= fresh_share
 
 
+def test_long_cut_doubles_the_probes_at_most(monkeypatch):
+    """Guards against more probes than the number of sides of a cut explains."""
+    monitor = ProbeMonitor(monkeypatch)
+    limit_per_s = 42.0
+
+    async def scenario(simulation):
+        set_limit(simulation, limit_per_s)
+        cut_fleet(simulation)
+        await asyncio.sleep(LONG_CUT_S)
+        await simulation.send_load(250.0, 3.0)
+
+    run_simulation(scenario, node_count=30, server_count=5, work_s=0.047)
+    assert monitor.compute_fresh_share() >= 0.9
+    assert monitor.count_most_per_second() <= LONG_CUT_FACTOR * limit_per_s
+
+
 async def end_delay(simulation, name):
     await asyncio.sleep(3.0)
     simulation.node_delays_s.pop(name, None)
