--- a/src/jasmineseam/node/quotas.py
+++ b/src/jasmineseam/node/quotas.py
@@ -422,7 +422,7 @@
         return tokens
 
     def _rank(self, account: str) -> list[str]:
-        """Return the owner, the standby and the third node of an account."""
+        """Return the owner, the standby and the further nodes of an account, in order."""
         version = (self._membership.state_changes, self._membership.own.version)
         if version != self._ranks_version:
             self._ranks_version = version
--- a/src/jasmineseam/routing/quotas.py
+++ b/src/jasmineseam/routing/quotas.py
@@ -6,7 +6,7 @@
 
 One node, the owner of the account, counts the tokens that it grants in a sliding window. The owner
 is chosen by rendezvous hashing. The next node in rank, the standby, grants tokens if the owner
-does not answer, and a third node grants a part if neither does. Owner and standby send each other
+does not answer, and further nodes grant a part if neither does. Owner and standby send each other
 their logs of granted tokens. Each message about an account carries logs, so that a new owner
 learns what others have granted.
 """
@@ -35,11 +35,12 @@
 SLOTS_PER_WINDOW = 50
 # An owner grants tokens in advance only while this fraction of the quota is left.
 ADVANCE_RESERVE_FRACTION = 0.5
-# number of nodes that may grant an account's tokens: the owner, the standby and a third node
-OWNER_COUNT = 3
-# If owner and standby do not hear from each other, each uses this part of the quota. So does the
-# third node: until failure detection has noticed a partition, it can't know whether the others
-# still grant tokens.
+# Number of nodes that may grant an account's tokens: the owner, the standby and further nodes.
+# With three, all of them are on one side of a fleet cut in halves in a quarter of the cases.
+OWNER_COUNT = 5
+# If owner and standby do not hear from each other, each uses this part of the quota. So do
+# further nodes: until failure detection has noticed a partition, they can't know whether the
+# others still grant tokens.
 SEPARATED_SHARE = 0.5
 # A part of the fleet that is not larger than this fraction grants nothing, and the rest of the
 # fleet grants the whole quota, so that the loss of a few nodes costs no account a part of its
