Name no node in locator answers that failed over 6 s ago

Cause: with at most 8 pings a period, the last node of 300 needed about 19 s (as computed from the period) to find all failures, and a node that had been paused answered with its old list. Change: pings grow by 4 up to 256 a period after a missed answer; after a pause of 2 s nothing known of other nodes counts until they are heard of again.

--- a/src/jasmineseam/fleet/failure_detection.py
+++ b/src/jasmineseam/fleet/failure_detection.py
@@ -27,8 +27,13 @@
 INDIRECT_PING_COUNT = 3
 # The timeouts grow while answers arrive late, which shows that this node is slow.
 MAX_TIMEOUT_FACTOR = 4
-# After a missed answer, more nodes are pinged per period, since many may have failed at once.
-MAX_PARALLEL_PINGS = 8
+# After a missed answer, more nodes are pinged per period, since many may have failed at once. One
+# node that is left of 300 has pinged all others after five periods; with at most 8 pings a period
+# it would take 19 s, while locator answers must name no node that failed over 6 s ago.
+PARALLEL_PINGS_GROWTH = 4
+MAX_PARALLEL_PINGS = 256
+# number of late answers by which a slow node detects that it is slow
+MAX_LATE_PINGS = 8
 # A timeout that fires later than this shows that this node itself was delayed.
 MAX_TIMER_DELAY_S = 0.1
 # Time for which a ping on behalf of another node is remembered.
@@ -67,7 +72,7 @@
         self._last_number = 0
         self._ack_events: dict[int, asyncio.Event] = {}
         # numbers of the last pings that were not answered in time
-        self._late_pings: collections.deque[int] = collections.deque(maxlen=MAX_PARALLEL_PINGS)
+        self._late_pings: collections.deque[int] = collections.deque(maxlen=MAX_LATE_PINGS)
         # by number of an own ping on behalf of another node: its number and datagram address
         self._relayed_pings: dict[int, tuple[int, str]] = {}
         self._timeout_factor = 1
@@ -88,7 +93,9 @@
 
     async def ping_next_nodes(self) -> None:
         """Ping the next nodes in turn, and suspect those that don't answer."""
-        targets = {}
+        # After a pause, nodes that have not been heard of since are pinged first.
+        distrusted = self._membership.list_distrusted()[:MAX_PARALLEL_PINGS]
+        targets = {info.vm_id: info for info in distrusted}
         for _ in range(self._parallel_pings):
             target = self._choose_ping_target()
             if target is not None:
@@ -97,7 +104,9 @@
         if all(answered):
             self._parallel_pings = 1
         else:
-            self._parallel_pings = min(MAX_PARALLEL_PINGS, 2 * self._parallel_pings)
+            self._parallel_pings = min(
+                MAX_PARALLEL_PINGS, PARALLEL_PINGS_GROWTH * self._parallel_pings
+            )
 
     async def _ping(self, target: NodeInfo) -> bool:
         """Ping a node, if necessary through others; return whether it is known to be alive."""
--- a/src/jasmineseam/fleet/spreading.py
+++ b/src/jasmineseam/fleet/spreading.py
@@ -48,6 +48,10 @@
 # interval between two contacts to nodes that failed or were never reached
 CONTACT_INTERVAL_S = 2.0
 NODES_REQUEST_INTERVAL_S = 1.0
+# If this node has not run for this time, what it knows of other nodes no longer counts. A shorter
+# pause and the detection of a failure after it take less than 6 s together.
+PAUSE_CHECK_INTERVAL_S = 0.5
+MIN_PAUSE_S = 2.0
 _logger = logbook.Logger("fleet")
 
 
@@ -117,6 +121,8 @@
         self._contacted_at = float("-inf")
         self._nodes_requested_at = float("-inf")
         self._last_state_changes = 0
+        self._ran_at = clock()
+        self._pause_timer: asyncio.TimerHandle | None = None
         self._joined = asyncio.Event()
         self._closed = False
 
@@ -176,6 +182,8 @@
 
     async def run_forever(self) -> None:
         """Ping other nodes until cancelled."""
+        self._ran_at = self._clock()
+        self._schedule_pause_check()
         while True:
             period_s = PING_PERIOD_S * self._rng.uniform(0.9, 1.1)
             if not self.membership.list_peers() and self._contacts:
@@ -201,6 +209,7 @@
         sender = message.sender
         if self._closed or sender.vm_id == self.membership.own.vm_id:
             return
+        self.check_pause()
         was_suspected = self.membership.is_suspected(sender)
         if self.membership.record_contact(sender):
             _logger.info("Node {} at {} has a new state.", sender.vm_id, sender.notice_address)
@@ -224,6 +233,33 @@
         self._closed = True
         if self._flush_timer is not None:
             self._flush_timer.cancel()
+        if self._pause_timer is not None:
+            self._pause_timer.cancel()
+
+    def check_pause(self) -> None:
+        """Distrust what is known of other nodes if this node was paused; ping them all then."""
+        now = self._clock()
+        pause_s = now - self._ran_at
+        self._ran_at = now
+        if pause_s < MIN_PAUSE_S or not self.membership.list_peers():
+            return
+        _logger.warning(
+            "This node was paused for {:.1f} s; callers are sent to other nodes again as these "
+            "answer.",
+            pause_s,
+        )
+        self.membership.distrust()
+        for info in self.membership.list_distrusted():
+            self._detector.send_ping(info.notice_address)
+
+    def _schedule_pause_check(self) -> None:
+        if self._pause_timer is not None:
+            self._pause_timer.cancel()
+        if self._closed:
+            return
+        self.check_pause()
+        loop = asyncio.get_running_loop()
+        self._pause_timer = loop.call_later(PAUSE_CHECK_INTERVAL_S, self._schedule_pause_check)
 
     def _build_digest(self) -> StateDigest:
         return self._handlers.get_digest(combine_digests(self.membership.compute_digests()))
--- a/src/jasmineseam/membership/nodes.py
+++ b/src/jasmineseam/membership/nodes.py
@@ -64,12 +64,14 @@
 
 
 class _Member:
-    __slots__ = ("info", "status", "status_at")
+    __slots__ = ("heard_at", "info", "status", "status_at")
 
     def __init__(self, info: NodeInfo, now: float) -> None:
         self.info = info
         self.status = NodeStatus.ALIVE
         self.status_at = now
+        # time of the last message of the node itself, or of a newer state from another node
+        self.heard_at = now
 
 
 class NodeMembership:
@@ -90,7 +92,15 @@
     ['a']
     """
 
-    __slots__ = ("_clock", "_digests", "_digests_version", "_members", "own", "state_changes")
+    __slots__ = (
+        "_clock",
+        "_digests",
+        "_digests_version",
+        "_distrusted_at",
+        "_members",
+        "own",
+        "state_changes",
+    )
 
     def __init__(self, *, own: NodeInfo, clock: t.Callable[[], float]) -> None:
         self._clock = clock
@@ -98,6 +108,8 @@
         self.own = own
         # number of changes of other nodes' states and of their status
         self.state_changes = 0
+        # what was known before this time does not count
+        self._distrusted_at = float("-inf")
         self._digests: list[int] = []
         self._digests_version = (-1, -1)
 
@@ -137,9 +149,30 @@
         new = self.apply(info)
         member = self._members.get(info.vm_id)
         if member is not None and info.version == member.info.version:
+            if not self._is_trusted(member):
+                self.state_changes += 1
+            member.heard_at = self._clock()
             self._set_status(member, NodeStatus.ALIVE)
         return new
 
+    def distrust(self) -> None:
+        """Take no node as alive until it is heard of again.
+
+        Called after a pause of this node, in which any other node may have failed.
+        """
+        self._distrusted_at = self._clock()
+        for member in self._members.values():
+            member.heard_at = min(member.heard_at, self._distrusted_at - 1.0)
+        self.state_changes += 1
+
+    def list_distrusted(self) -> list[NodeInfo]:
+        """Return the nodes that have not been heard of since a pause, and have not failed."""
+        return [
+            member.info
+            for member in self._members.values()
+            if member.status != NodeStatus.FAILED and not self._is_trusted(member)
+        ]
+
     def is_suspected(self, info: NodeInfo) -> bool:
         """Return whether the node is suspected or failed in the version of the given state."""
         member = self._members.get(info.vm_id)
@@ -208,7 +241,7 @@
         live = [
             member.info
             for member in self._members.values()
-            if member.status == NodeStatus.ALIVE and member.info.ready and not member.info.leaving
+            if self._is_alive(member) and member.info.ready and not member.info.leaving
         ]
         if self.own.ready and not self.own.leaving:
             live.append(self.own)
@@ -267,12 +300,16 @@
         return [info for info in self._list_alive() if differs(info)], suspected
 
     def _list_alive(self) -> list[NodeInfo]:
-        alive = [
-            member.info for member in self._members.values() if member.status == NodeStatus.ALIVE
-        ]
+        alive = [member.info for member in self._members.values() if self._is_alive(member)]
         alive.append(self.own)
         return alive
 
+    def _is_trusted(self, member: _Member) -> bool:
+        return member.heard_at >= self._distrusted_at
+
+    def _is_alive(self, member: _Member) -> bool:
+        return member.status == NodeStatus.ALIVE and self._is_trusted(member)
+
     def _set_status(self, member: _Member, status: NodeStatus) -> None:
         if member.status == status:
             return
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -379,6 +379,7 @@
 
         Nodes that reach no service are left out, unless that concerns all nodes.
         """
+        self.fleet.check_pause()
         live = self.fleet.membership.list_live()
         services = self.gateway.list_services()
         reaching = [info for info in live if not services.issubset(info.lost_services)]
