Name nodes by region in locator answers

Cause: a locator knew only the failure domain of a client. Change: it prefers the client's region, then the home regions of the host, then all nodes; the query has the host, the region and the failure domain.

--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -42,6 +42,9 @@
 from ..routing.routes import RoutingTable
 from .endpoints import EndpointConfig
 from .endpoints import NodeEndpoints
+from .entry_selection import LocatorQuery
+from .entry_selection import choose_entry_nodes
+from .entry_selection import find_home_regions
 from .evacuation_notices import EvacuationNotices
 from .fleet_notices import FleetNotices
 from .gateway import Gateway
@@ -385,6 +388,14 @@
         reaching = [info for info in live if not services.issubset(info.lost_services)]
         return reaching or live
 
+    def _choose_entry_nodes(self, query: LocatorQuery) -> list[NodeInfo]:
+        return choose_entry_nodes(
+            self.list_entry_nodes(),
+            query,
+            regions=self.settings.regions,
+            home_regions=find_home_regions(self.gateway.routing_table, query.host),
+        )
+
     def _apply_routing_table(self, table: RoutingTable, source: str) -> bool:
         applied = self.gateway.apply_routing_table(table)
         if applied:
@@ -467,7 +478,7 @@
         endpoints = NodeEndpoints(
             config=self._endpoint_config,
             is_ready=lambda: self.ready,
-            list_entry_nodes=self.list_entry_nodes,
+            list_entry_nodes=self._choose_entry_nodes,
             get_entries_ttl_s=self._get_entries_ttl_s,
         )
         port = self.options.metrics_port
--- a/src/jasmineseam/node/endpoints.py
+++ b/src/jasmineseam/node/endpoints.py
@@ -12,6 +12,7 @@
 
 from ..membership.nodes import NodeInfo
 from ..operations.metrics import render_metrics
+from .entry_selection import LocatorQuery
 
 
 class EndpointConfig(t.NamedTuple):
@@ -19,14 +20,13 @@
 
     :param readiness_path: path of the readiness endpoint.
     :param locator_path: path of the endpoint that returns entry addresses.
-    :param get_caller_failure_domain: returns the caller's failure domain from the query
-        parameters.
+    :param decode_query: decodes the query parameters of a client.
     :param encode_entries: encodes entry addresses and their TTL in seconds.
     """
 
     readiness_path: str
     locator_path: str
-    get_caller_failure_domain: t.Callable[[t.Mapping[str, str]], str]
+    decode_query: t.Callable[[t.Mapping[str, str]], LocatorQuery]
     encode_entries: t.Callable[[list[str], float], bytes]
 
 
@@ -35,7 +35,7 @@
 
     :param config: paths and formats of the readiness and locator endpoints.
     :param is_ready: returns whether this node accepts requests of callers.
-    :param list_entry_nodes: returns the nodes whose addresses callers get.
+    :param list_entry_nodes: returns the nodes whose addresses a client gets.
     :param get_entries_ttl_s: returns how long a caller may cache the entry addresses, in seconds.
     """
 
@@ -44,7 +44,7 @@
         *,
         config: EndpointConfig,
         is_ready: t.Callable[[], bool],
-        list_entry_nodes: t.Callable[[], list[NodeInfo]],
+        list_entry_nodes: t.Callable[[LocatorQuery], list[NodeInfo]],
         get_entries_ttl_s: t.Callable[[], float],
     ) -> None:
         self._config = config
@@ -64,22 +64,18 @@
     async def handle_locator(self, request: web.BaseRequest) -> web.Response:
         """Return entry addresses in random order.
 
-        If the caller's failure domain has entries, only those are returned, otherwise the entries
-        of all failure domains.
+        Entries near the client are preferred, see :func:`.entry_selection.choose_entry_nodes`.
         """
         if request.path != self._config.locator_path:
             return web.Response(status=404, text="not found\n")
-        failure_domain = self._config.get_caller_failure_domain(request.query)
-        addresses = self._list_entry_addresses(failure_domain)
+        addresses = self._list_entry_addresses(self._config.decode_query(request.query))
         if not addresses:
             return web.Response(status=503, text="no entry is known yet\n")
         body = self._config.encode_entries(addresses, self._get_entries_ttl_s())
         return web.Response(body=body, content_type="application/json")
 
-    def _list_entry_addresses(self, failure_domain: str) -> list[str]:
-        nodes = self._list_entry_nodes()
-        same_domain = [node for node in nodes if node.failure_domain == failure_domain]
-        addresses = [node.entry_address for node in same_domain or nodes]
+    def _list_entry_addresses(self, query: LocatorQuery) -> list[str]:
+        addresses = [node.entry_address for node in self._list_entry_nodes(query)]
         self._rng.shuffle(addresses)
         return addresses
 
--- a/src/jasmineseam/platform/endpoints.py
+++ b/src/jasmineseam/platform/endpoints.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from ..node.entry_selection import LocatorQuery
+
 READINESS_PATH = "/api/readyz"
 LOCATOR_PATH = "/api/resolve"
 MAX_LOCATOR_ADDRESSES = 64
@@ -19,9 +21,17 @@
     ttl: str
 
 
-def get_caller_failure_domain(query: t.Mapping[str, str]) -> str:
-    """Return the caller's failure domain from the query, empty if the query has none."""
-    return query.get("zone", "")
+def decode_locator_query(query: t.Mapping[str, str]) -> LocatorQuery:
+    """Decode the query parameters of a client.
+
+    >>> decode_locator_query({"name": "fit.example:80", "zone": "z1"})
+    LocatorQuery(host='fit.example', region='', failure_domain='z1')
+    """
+    return LocatorQuery(
+        host=query.get("name", "").partition(":")[0],
+        region=query.get("region", ""),
+        failure_domain=query.get("zone", ""),
+    )
 
 
 def encode_entry_addresses(addresses: list[str], lifetime_s: float) -> bytes:
--- a/src/jasmineseam/platform/program.py
+++ b/src/jasmineseam/platform/program.py
@@ -20,8 +20,8 @@
 from ..operations.output import LineOutput
 from .endpoints import LOCATOR_PATH
 from .endpoints import READINESS_PATH
+from .endpoints import decode_locator_query
 from .endpoints import encode_entry_addresses
-from .endpoints import get_caller_failure_domain
 from .headers import HEADER_CODEC
 from .metadata_store import HttpMetadataStore
 from .settings import load_settings
@@ -30,7 +30,7 @@
 ENDPOINT_CONFIG = EndpointConfig(
     readiness_path=READINESS_PATH,
     locator_path=LOCATOR_PATH,
-    get_caller_failure_domain=get_caller_failure_domain,
+    decode_query=decode_locator_query,
     encode_entries=encode_entry_addresses,
 )
 
