Restrict requests to the home regions of route and account

Cause: routes and client accounts may name regions outside of which no server may get their requests. Change: each set of home regions has a dispatcher of its own for a service, whose loads are shared with the others; relays go to nodes in these regions.

--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -22,6 +22,7 @@
 from ..routing.dispatch import REASON_NO_SERVER
 from ..routing.dispatch import Dispatcher
 from ..routing.dispatch import PlacementRequest
+from ..routing.home_regions import compute_home_regions
 from ..routing.load import ServerLoad
 from ..routing.quarantine import Admission
 from ..routing.quarantine import CrashQuarantine
@@ -126,7 +127,8 @@
         """
         if self._registry.is_evacuated(service):
             raise NotRunError("evacuated", 503, EVACUATED_RETRY_AFTER_S)
-        proxied.dispatcher = self._dispatchers.get(service)
+        regions = compute_home_regions(proxied.route, proxied.account)
+        proxied.dispatcher = self._dispatchers.get(service, regions)
         proxied.service_time_s = proxied.dispatcher.get_service_time_s(proxied.route.name)
         budget = self._get_retry_budget(service)
         try:
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -133,6 +133,8 @@
         )
         self.gateway.attempts.relay = self.relay_client.run
         self.gateway.attempts.wait_for_verdict = self.path_checker.wait_for_verdict
+        self.gateway.dispatchers.regions = settings.regions
+        self.relay_client.get_region = lambda domain: self.settings.regions.get(domain, "")
         self.relay_client.on_result = self.path_checker.record_relay_result
         self.path_checker.on_change = lambda: self.fleet.update_own(
             lost_services=self.path_checker.list_own_losses()
@@ -283,6 +285,8 @@
             settings, vm=current.vm, listeners=current.listeners
         )
         self.gateway.attempts.set_retry_limits(settings.retries)
+        self.gateway.dispatchers.regions = settings.regions
+        self.gateway.refresh_servers()
         self.prober.max_probes_per_s = settings.probes_per_s
         for address in settings.seed_peers:
             self.fleet.add_contact(address)
@@ -351,7 +355,7 @@
             "nodes": self.fleet.membership.list_statuses(),
             "reads_store": self.store_watcher.is_reader(),
             "services": {
-                dispatcher.service: {
+                dispatcher.name: {
                     "queued": dispatcher.count_queued(),
                     "usual_s": round(dispatcher.service_time_s, 4),
                     "slowness": round(dispatcher.average_slowness.value, 2),
--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -61,7 +61,10 @@
             ShareCandidate(node_id, failure_domain)
         ]
         self._rng = random.Random()
-        self._by_service: dict[str, Dispatcher] = {}
+        # The requests of each set of home regions have a dispatcher of their own.
+        self._by_service: dict[tuple[str, frozenset[str] | None], Dispatcher] = {}
+        # region of each failure domain; empty if there is only one region
+        self.regions: t.Mapping[str, str] = {}
         # Called with a dispatcher when one of its requests has to wait for a server.
         self.on_queued: t.Callable[[Dispatcher], None] = lambda dispatcher: None
         # Called with a dispatcher whose path to its servers is in doubt.
@@ -74,19 +77,26 @@
         """Return all dispatchers."""
         return list(self._by_service.values())
 
-    def get(self, service: str) -> Dispatcher:
-        """Return the dispatcher of a service; create it if there is none."""
-        dispatcher = self._by_service.get(service)
+    def get(self, service: str, regions: frozenset[str] | None = None) -> Dispatcher:
+        """Return the dispatcher of a service; create it if there is none.
+
+        :param regions: regions of the servers that it uses, ``None`` for all; without effect if
+            there is only one region.
+        """
+        if not self.regions:
+            regions = None
+        dispatcher = self._by_service.get((service, regions))
         if dispatcher is None:
             dispatcher = Dispatcher(
                 service=service,
                 failure_domain=self._failure_domain,
                 clock=time.monotonic,
                 rng=self._rng,
+                regions=regions,
             )
             dispatcher.on_queued = self.on_queued
             dispatcher.path.on_doubt = lambda: self.on_path_doubt(dispatcher)
-            self._by_service[service] = dispatcher
+            self._by_service[service, regions] = dispatcher
             self._refresh_dispatcher(dispatcher)
         return dispatcher
 
@@ -182,7 +192,7 @@
         """
         others = [
             registered
-            for registered in self._registry.list_usable(dispatcher.service)
+            for registered in self._list_usable(dispatcher)
             if registered.server.server_id not in dispatcher.loads
             and self._get_request_bucket(registered) is None
         ]
@@ -246,13 +256,47 @@
         self._update_request_buckets()
         for service in services:
             self._refresh_dispatcher(self.get(service))
+        for dispatcher in self.list_all():
+            if dispatcher.regions is not None:
+                self._refresh_dispatcher(dispatcher)
+
+    def _list_usable(self, dispatcher: Dispatcher) -> list[RegisteredServer]:
+        """Return the usable servers in the regions of a dispatcher."""
+        usable = self._registry.list_usable(dispatcher.service)
+        if dispatcher.regions is None:
+            return usable
+        return [
+            registered
+            for registered in usable
+            if self.regions.get(registered.server.failure_domain) in dispatcher.regions
+        ]
+
+    def _find_load(
+        self, dispatcher: Dispatcher, registered: RegisteredServer
+    ) -> ServerLoad | None:
+        """Return the load state of a server that another dispatcher of the service uses.
+
+        Requests of all dispatchers count as load, and probes within one budget.
+        """
+        for other in self._by_service.values():
+            if other is dispatcher or other.service != dispatcher.service:
+                continue
+            load = other.loads.get(registered.server.server_id)
+            if (
+                load is not None
+                and load.borrowed_until is None
+                and load.address == registered.server.address
+                and load.started_ms == registered.listing.started_ms
+            ):
+                return load
+        return None
 
     def _refresh_dispatcher(self, dispatcher: Dispatcher) -> None:
         now = time.monotonic()
         loads = {}
         usable = [
             (registered, self._get_request_bucket(registered))
-            for registered in self._registry.list_usable(dispatcher.service)
+            for registered in self._list_usable(dispatcher)
         ]
         subset = self._choose_subset(
             dispatcher, [registered for registered, bucket in usable if bucket is None]
@@ -274,7 +318,8 @@
                 self._on_server_replaced(server.address)
             if new_or_moved or load.started_ms != started_ms:
                 borrowed_until = None if load is None else load.borrowed_until
-                load = self._create_load(registered, now)
+                shared = self._find_load(dispatcher, registered) if in_subset else None
+                load = shared or self._create_load(registered, now)
                 load.borrowed_until = borrowed_until
             if in_subset:
                 load.borrowed_until = None
--- a/src/jasmineseam/node/path_checker.py
+++ b/src/jasmineseam/node/path_checker.py
@@ -57,7 +57,7 @@
         return sorted(
             dispatcher.service
             for dispatcher in self._dispatchers.list_all()
-            if dispatcher.path.lost
+            if dispatcher.path.lost and dispatcher.regions is None
         )
 
     def list_own_losses(self) -> list[str]:
@@ -83,7 +83,7 @@
 
     async def wait_for_verdict(self, dispatcher: Dispatcher) -> bool:
         """Wait until it is known whether a path is lost; return whether it was in doubt."""
-        verdict = self._verdicts.get(dispatcher.service)
+        verdict = self._verdicts.get(dispatcher.name)
         if verdict is None:
             return False
         await verdict.wait()
@@ -95,12 +95,12 @@
             task.cancel()
 
     def _handle_doubt(self, dispatcher: Dispatcher) -> None:
-        if dispatcher.service in self._tasks:
+        if dispatcher.name in self._tasks:
             return
-        self._verdicts[dispatcher.service] = asyncio.Event()
+        self._verdicts[dispatcher.name] = asyncio.Event()
         task = asyncio.create_task(self._watch(dispatcher))
-        self._tasks[dispatcher.service] = task
-        task.add_done_callback(lambda _: self._tasks.pop(dispatcher.service, None))
+        self._tasks[dispatcher.name] = task
+        task.add_done_callback(lambda _: self._tasks.pop(dispatcher.name, None))
 
     async def _watch(self, dispatcher: Dispatcher) -> None:
         try:
@@ -119,7 +119,7 @@
                 return
             dispatcher.mark_path_lost()
         finally:
-            self._verdicts.pop(dispatcher.service).set()
+            self._verdicts.pop(dispatcher.name).set()
         lost_at = time.monotonic()
         self.lost_count += 1
         _logger.warning(
--- a/src/jasmineseam/node/relays.py
+++ b/src/jasmineseam/node/relays.py
@@ -34,6 +34,7 @@
 from ..routing.dispatch import PATH_LOST_RETRY_AFTER_S
 from ..routing.dispatch import REASON_NO_PATH
 from ..routing.dispatch import REASON_NO_SERVER
+from ..routing.dispatch import Dispatcher
 from .proxied_request import ProxiedRequest
 
 # number of nodes to which a request is offered
@@ -90,6 +91,8 @@
         self._refused_until: dict[tuple[str, str], float] = {}
         self._cancellations: set[asyncio.Task] = set()
         self.outcome_counts: collections.Counter[str] = collections.Counter()
+        # Returns the region of a failure domain.
+        self.get_region: t.Callable[[str], str] = lambda failure_domain: ""
         # Called with a service, and whether another node has reached it.
         self.on_result: t.Callable[[str, bool], None] = lambda service, reached: None
 
@@ -105,7 +108,7 @@
         service = proxied.dispatcher.service
         offered: set[str] = set()
         while len(offered) < MAX_OFFERS and len(proxied.body) <= MAX_RELAYED_BODY_BYTES:
-            node = self._choose_node(service, offered)
+            node = self._choose_node(proxied.dispatcher, offered)
             if node is None:
                 break
             offered.add(node.vm_id)
@@ -119,18 +122,30 @@
         self.on_result(service, False)
         raise NoRelayError
 
-    def _choose_node(self, service: str, offered: set[str]) -> NodeInfo | None:
+    def _choose_node(self, dispatcher: Dispatcher, offered: set[str]) -> NodeInfo | None:
         """Return the less busy one of two random nodes, ``None`` if there is none."""
         now = time.monotonic()
+        service = dispatcher.service
         candidates = [
             info
             for info in self._list_candidates(service)
             if info.vm_id not in offered
+            and self._is_at_home(info, dispatcher.regions)
             and now >= self._refused_until.get((info.vm_id, service), 0.0)
         ]
         sample = self._rng.sample(candidates, min(2, len(candidates)))
         return min(sample, key=lambda info: self._running[info.vm_id], default=None)
 
+    def _is_at_home(self, info: NodeInfo, regions: frozenset[str] | None) -> bool:
+        """Return whether a node may get the body of a request that has home regions.
+
+        The client's own region is not known here. Builds without evacuations don't know home
+        regions either, and would use servers anywhere.
+        """
+        if regions is None:
+            return True
+        return info.evacuated is not None and self.get_region(info.failure_domain) in regions
+
     async def _offer(
         self, node: NodeInfo, proxied: ProxiedRequest, *, hedge: bool
     ) -> RelayedResponse | None:
@@ -192,6 +207,10 @@
     ) -> RelayedRequest:
         now = time.monotonic()
         route = proxied.route
+        regions = proxied.dispatcher.regions
+        if regions is not None:
+            # includes the home regions of the account, which the relaying node doesn't know
+            route = msgspec.structs.replace(route, home_regions=sorted(regions))
         return RelayedRequest(
             relay_id=relay_id,
             service=proxied.dispatcher.service,
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -91,10 +91,22 @@
     :param failure_domain: failure domain of this node.
     :param clock: returns monotonic time in seconds.
     :param rng: breaks ties between servers.
+    :param regions: regions of the servers that are used, ``None`` for all.
     """
 
-    def __init__(self, *, service: str, failure_domain: str, clock, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        service: str,
+        failure_domain: str,
+        clock,
+        rng: random.Random,
+        regions: frozenset[str] | None = None,
+    ) -> None:
         self.service = service
+        self.regions = regions
+        # differs from that of every other dispatcher of the node
+        self.name = service if regions is None else f"{service}@{'+'.join(sorted(regions))}"
         self._failure_domain = failure_domain
         self._clock = clock
         self._rng = rng
