Keep the probe limit with several dispatchers of a service

Cause: the nodes that use a server for requests with home regions are others than those that use it for the rest, and each group kept the limit alone.

--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -100,6 +100,12 @@
             self._refresh_dispatcher(dispatcher)
         return dispatcher
 
+    def count(self, service: str) -> int:
+        """Return the number of dispatchers of a service, one for each set of home regions."""
+        if not self.regions:
+            return 1
+        return sum(dispatcher.service == service for dispatcher in self.list_all())
+
     def has_servers(self, service: str) -> bool:
         """Return whether servers of a service are listed."""
         return bool(self._registry.list_usable(service))
--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -150,7 +150,9 @@
         if load.request_bucket is not None:
             return load.request_bucket.share.node_count / PROBES_PER_S
         limit_per_s = max(0.001, USABLE_LIMIT_FRACTION * self.max_probes_per_s)
-        return dispatcher.node_count / limit_per_s
+        # The subsets of dispatchers with different home regions are used by different nodes.
+        dispatcher_count = self._gateway.dispatchers.count(dispatcher.service)
+        return dispatcher_count * dispatcher.node_count / limit_per_s
 
     def _start_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> asyncio.Task:
         load.last_probe_at = time.monotonic()
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -13,6 +13,7 @@
 from jasmineseam.routing.routes import Route
 from jasmineseam.routing.routes import RoutingTable
 from jasmineseam.routing.routes import WeightedService
+from tests.node_simulation import SERVICE
 from tests.node_simulation import get_time
 from tests.node_simulation import run_simulation
 from tests.test_nodes import make_info
@@ -217,3 +218,22 @@
         assert not any("@" in name for name in dispatchers)
 
     run_simulation(scenario, node_count=6, server_count=12)
+
+
+def test_dispatchers_of_a_service_share_load_and_the_probe_limit():
+    """Guards against servers that get the requests and probes of a node twice."""
+
+    async def scenario(simulation):
+        node = simulation.nodes["n1"].node
+        dispatchers = node.gateway.dispatchers
+        base = dispatchers.get(SERVICE)
+        (load, *_) = base.loads.values()
+        interval_s = node.prober._compute_min_interval_s(base, load)
+        restrict(simulation, {"d1": "r1", "d2": "r2", "d3": "r3"}, ["r2"])
+        regional = dispatchers.get(SERVICE, frozenset({"r2"}))
+        shared = base.loads.keys() & regional.loads.keys()
+        assert shared
+        assert all(base.loads[name] is regional.loads[name] for name in shared)
+        assert node.prober._compute_min_interval_s(base, load) == 2 * interval_s
+
+    run_simulation(scenario, node_count=6, server_count=12)
