--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -45,6 +45,9 @@
 from ..routing.routes import RoutingTable
 from .endpoints import EndpointConfig
 from .endpoints import NodeEndpoints
+from .entry_selection import LocatorQuery
+from .entry_selection import choose_entry_nodes
+from .entry_selection import find_home_regions
 from .evacuation_notices import EvacuationNotices
 from .fleet_notices import FleetNotices
 from .gateway import Gateway
@@ -136,6 +139,8 @@
         )
         self.gateway.attempts.relay = self.relay_client.run
         self.gateway.attempts.wait_for_verdict = self.path_checker.wait_for_verdict
+        self.gateway.dispatchers.regions = settings.regions
+        self.relay_client.get_region = lambda domain: self.settings.regions.get(domain, "")
         self.relay_client.on_result = self.path_checker.record_relay_result
         self.path_checker.on_change = lambda: self.fleet.update_own(
             lost_services=self.path_checker.list_own_losses()
@@ -317,6 +322,8 @@
         )
         self.gateway.attempts.set_retry_limits(settings.retries)
         self.gateway.dispatchers.warmup_settings = settings.warmup
+        self.gateway.dispatchers.regions = settings.regions
+        self.gateway.refresh_servers()
         self.prober.max_probes_per_s = settings.probes_per_s
         self.gateway.authenticator.set_freshness(
             self.state_sync.table_confirmation,
@@ -405,7 +412,7 @@
             "nodes": self.fleet.membership.list_statuses(),
             "reads_store": self.store_watcher.is_reader(),
             "services": {
-                dispatcher.service: {
+                dispatcher.name: {
                     "queued": dispatcher.count_queued(),
                     "usual_s": round(dispatcher.service_time_s, 4),
                     "slowness": round(dispatcher.average_slowness.value, 2),
@@ -441,11 +448,20 @@
 
         Nodes that reach no service are left out, unless that concerns all nodes.
         """
+        self.fleet.check_pause()
         live = self.fleet.membership.list_live()
         services = self.gateway.list_services()
         reaching = [info for info in live if not services.issubset(info.lost_services)]
         return reaching or live
 
+    def _choose_entry_nodes(self, query: LocatorQuery) -> list[NodeInfo]:
+        return choose_entry_nodes(
+            self.list_entry_nodes(),
+            query,
+            regions=self.settings.regions,
+            home_regions=find_home_regions(self.gateway.routing_table, query.host),
+        )
+
     def _apply_routing_table(
         self, table: RoutingTable, source: str, *, provisional: bool = False
     ) -> bool:
@@ -534,7 +550,7 @@
         endpoints = NodeEndpoints(
             config=self._endpoint_config,
             is_ready=lambda: self.ready,
-            list_entry_nodes=self.list_entry_nodes,
+            list_entry_nodes=self._choose_entry_nodes,
             get_entries_ttl_s=self._get_entries_ttl_s,
         )
         port = self.options.metrics_port
--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -278,6 +278,8 @@
         share = self._grants.get_share(dispatcher.service, load.failure_domain)
         in_subset = load.borrowed_until is None
         probes_per_s = share.own_per_s if in_subset else share.borrower_per_s
+        # The subsets of dispatchers with different home regions are used by different nodes.
+        probes_per_s /= self._gateway.dispatchers.count(dispatcher.service)
         return self._own_probes.may_probe(load.server_id, probes_per_s, now)
 
     def _compute_equal_share_interval_s(self, dispatcher: Dispatcher) -> float:
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -97,6 +97,7 @@
     :param rng: breaks ties between servers.
     :param service_times: estimated service times, shared by the dispatchers of a node.
     :param round_trips: round trips to the failure domains, shared by the dispatchers of a node.
+    :param regions: regions of the servers that are used, ``None`` for all.
     """
 
     def __init__(
@@ -108,8 +109,12 @@
         rng: random.Random,
         service_times: ServiceTimes | None = None,
         round_trips: RoundTrips | None = None,
+        regions: frozenset[str] | None = None,
     ) -> None:
         self.service = service
+        self.regions = regions
+        # differs from that of every other dispatcher of the node
+        self.name = service if regions is None else f"{service}@{'+'.join(sorted(regions))}"
         self._failure_domain = failure_domain
         self._clock = clock
         self._rng = rng
