--- a/src/jasmineseam/fleet/failure_detection.py
+++ b/src/jasmineseam/fleet/failure_detection.py
@@ -28,7 +28,7 @@
 # The timeouts grow while answers arrive late, which shows that this node is slow.
 MAX_TIMEOUT_FACTOR = 4
 # After a missed answer, more nodes are pinged per period, since many may have failed at once. One
-# node that is left of 300 has pinged all others after five periods; with at most 8 pings a period
+# node that is left of 300 has pinged all others after eight periods; with at most 8 pings a period
 # it would take 19 s, while locator answers must name no node that failed over 6 s ago.
 PARALLEL_PINGS_GROWTH = 4
 MAX_PARALLEL_PINGS = 256
