Order requests of client accounts by priority and fair shares under overload

Cause: requests of all accounts were sorted by target alone, so all lost the same fraction while one account sent several times its usual demand. Change: routing/fair_queueing.py: account's priority, route's priority, in time or not, start-time fair queueing by quota; a rank or account served far less often than all comes first.

--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -20,6 +20,7 @@
 from ..requests.protocol import ServerResponse
 from ..routing.attempt_race import race_attempts
 from ..routing.dispatch import REASON_NO_SERVER
+from ..routing.dispatch import AccountShare
 from ..routing.dispatch import Dispatcher
 from ..routing.dispatch import PlacementRequest
 from ..routing.home_regions import compute_home_regions
@@ -296,6 +297,7 @@
             transfer_price_s=self._dispatchers.transfer_prices.get_price_s(
                 proxied.route.name, len(proxied.body)
             ),
+            account=_build_account_share(proxied),
         )
 
     async def _send_hedged_attempt(
@@ -380,5 +382,12 @@
     """Leave the load reports as they are."""
 
 
+def _build_account_share(proxied: ProxiedRequest) -> AccountShare | None:
+    account = proxied.account
+    if account is None:
+        return None
+    return AccountShare(account.name, account.priority, account.requests_per_s)
+
+
 def _is_success(response: ServerResponse) -> bool:
     return response.status < MIN_SERVER_ERROR_STATUS
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -21,6 +21,8 @@
 from .domain_choice import RoundTrips
 from .domain_choice import choose_domain
 from .domain_choice import split_by_domain
+from .fair_queueing import FairQueue
+from .fair_queueing import Rank
 from .load import MAX_FRESH_REPORT_AGE_S
 from .load import ServerLoad
 from .placement import ServerEstimate
@@ -51,6 +53,21 @@
 LATE_RETRY_SHARE = 0.25
 
 
+class AccountShare(t.NamedTuple):
+    """The client account of a request, as far as it matters for the order of requests.
+
+    :param weight: quota in requests per second, 0 without a quota.
+    """
+
+    name: str
+    priority: int
+    weight: float
+
+
+# Requests without an account, on public routes, compete with those of accounts as one account.
+NO_ACCOUNT = AccountShare("", 0, 0.0)
+
+
 class PlacementRequest(t.NamedTuple):
     """The requirements of one request on its server.
 
@@ -61,6 +78,7 @@
     :param excluded_server_ids: servers that already received an attempt of the request.
     :param idempotent: whether the request may be run more than once.
     :param transfer_price_s: time that a server in another failure domain must save, in seconds.
+    :param account: client account, ``None`` if the configuration holds none.
     """
 
     priority: int
@@ -70,19 +88,31 @@
     excluded_server_ids: set[str]
     idempotent: bool = True
     transfer_price_s: float = 0.0
+    account: AccountShare | None = None
+
+    @property
+    def rank(self) -> Rank:
+        """Urgency of the request among those of all accounts."""
+        return Rank(0 if self.account is None else self.account.priority, self.priority)
 
 
 class _QueuedRequest:
     """A queued request.
 
     :param placement_future: completes with the load of the chosen server, fails on a rejection.
+    :param fair_start: virtual start time among the requests of all accounts.
     """
 
-    __slots__ = ("arrived_at", "placement_future", "request")
+    __slots__ = ("arrived_at", "fair_start", "placement_future", "request")
 
     def __init__(
-        self, request: PlacementRequest, arrived_at: float, placement_future: asyncio.Future
+        self,
+        request: PlacementRequest,
+        arrived_at: float,
+        placement_future: asyncio.Future,
+        fair_start: float,
     ) -> None:
+        self.fair_start = fair_start
         self.request = request
         self.arrived_at = arrived_at
         self.placement_future = placement_future
@@ -128,6 +158,8 @@
         # called with this dispatcher when a request has to wait for a server
         self.on_queued: t.Callable[[Dispatcher], None] = lambda dispatcher: None
         self._queue: list[_QueuedRequest] = []
+        # ``None`` until a request of a client account arrives
+        self._fair_queue: FairQueue | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._completion_times: collections.deque[float] = collections.deque()
         self.last_request_at = float("-inf")
@@ -151,14 +183,18 @@
         self._feasible_fraction += FEASIBLE_FRACTION_EWMA_ALPHA * (
             feasible - self._feasible_fraction
         )
-        if not self._has_feasible_queued_request(now, request.priority):
+        fair_start = self._record_arrival(request)
+        queued = _QueuedRequest(
+            request, now, asyncio.get_running_loop().create_future(), fair_start
+        )
+        if not self._must_queue(queued, now):
             estimates = self._estimate_best_servers(request, now)
             load = self._select_server(request, now, *estimates, contended=False)
             if load is not None:
+                self._record_placement(queued)
                 load.take_token(now)
                 return load
-        self._check_queue_limits(request, now)
-        queued = _QueuedRequest(request, now, asyncio.get_running_loop().create_future())
+        self._check_queue_limits(queued, now)
         self._queue.append(queued)
         self._start_timer()
         self.on_queued(self)
@@ -270,6 +306,7 @@
                 contended = True
                 continue
             shared_estimates = None
+            self._record_placement(queued)
             load.take_token(now)
             self._queue.remove(queued)
             queued.placement_future.set_result(load)
@@ -406,6 +443,44 @@
     def _is_feasible(self, request: PlacementRequest, now: float) -> bool:
         return now + SERVICE_TIME_MARGIN_FACTOR * request.service_time_s < request.target_at
 
+    def _record_arrival(self, request: PlacementRequest) -> float:
+        """Count a request among those of all accounts; return its virtual start time."""
+        if request.account is not None and self._fair_queue is None:
+            self._fair_queue = FairQueue()
+        if self._fair_queue is None:
+            return 0.0
+        account = request.account or NO_ACCOUNT
+        self._fair_queue.record_arrival(request.rank, account.name)
+        return self._fair_queue.assign_start(account.name, account.weight)
+
+    def _record_placement(self, queued: _QueuedRequest) -> None:
+        if self._fair_queue is not None:
+            request = queued.request
+            account = request.account or NO_ACCOUNT
+            self._fair_queue.record_placement(request.rank, account.name, queued.fair_start)
+
+    def _must_queue(self, queued: _QueuedRequest, now: float) -> bool:
+        """Return whether requests that are queued already come before a new one."""
+        if self._fair_queue is None:
+            return self._has_feasible_queued_request(now, queued.request.priority)
+        key = self._get_fair_key(queued, now)
+        return any(
+            self._is_feasible(other.request, now) and self._get_fair_key(other, now) < key
+            for other in self._queue
+        )
+
+    def _get_fair_key(self, queued: _QueuedRequest, now: float) -> tuple:
+        """Return the key by which requests of client accounts are sorted."""
+        request = queued.request
+        rank = request.rank
+        return (
+            not self._fair_queue.is_starved(rank, (request.account or NO_ACCOUNT).name),
+            rank,
+            not self._is_feasible(request, now),
+            queued.fair_start,
+            request.target_at,
+        )
+
     def _has_feasible_queued_request(self, now: float, priority: int) -> bool:
         for queued in self._queue:
             request = queued.request
@@ -417,8 +492,11 @@
         """Return the queued requests in the order in which they are placed.
 
         Feasible requests come first. Within both groups, requests are sorted by priority and then
-        by target.
+        by target. Requests of client accounts are sorted by their account's priority, their own
+        priority and their virtual start time.
         """
+        if self._fair_queue is not None:
+            return sorted(self._queue, key=lambda queued: self._get_fair_key(queued, now))
 
         def sort_key(queued: _QueuedRequest) -> tuple[bool, int, float]:
             request = queued.request
@@ -490,10 +568,16 @@
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
         return NotRunError("overloaded", 503, retry_after_s)
 
-    def _check_queue_limits(self, request: PlacementRequest, now: float) -> None:
+    def _check_queue_limits(self, queued: _QueuedRequest, now: float) -> None:
+        request = queued.request
         if len(self._queue) >= MAX_QUEUED_REQUESTS:
             raise NotRunError("queue-full", 503, self._compute_retry_after_s())
         wait_s = self.estimate_wait_s()
+        if self._fair_queue is not None and self._queue:
+            # Only requests that come first delay this one.
+            key = self._get_fair_key(queued, now)
+            ahead = sum(self._get_fair_key(other, now) < key for other in self._queue)
+            wait_s *= ahead / len(self._queue)
         if now + wait_s + self.service_time_s > request.deadline_at:
             raise NotRunError("queue-too-long", 503, self._compute_retry_after_s())
 
