--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -109,7 +109,7 @@
 def test_callers_are_served_while_cuts_overlap_and_end_one_after_the_other():
     async def scenario(simulation):
         names = list(simulation.nodes)
-        load = simulation.spawn(send_load(simulation, 60.0, 24.0))
+        load = simulation.spawn(send_load(simulation, 90.0, 24.0))
         await asyncio.sleep(2.0)
 
         async def cut_later(delay_s, cut_names, duration_s, **options):
