--- a/src/jasmineseam/node/listeners.py
+++ b/src/jasmineseam/node/listeners.py
@@ -11,7 +11,7 @@
 from ..operations.node_settings import NodeListeners
 from ..routing.routes import CallerLimits
 from ..transport.caller_connections import CallerServer
-from ..transport.caller_connections import DiscreetServer
+from ..transport.caller_connections import RedactingServer
 from .endpoints import NodeEndpoints
 
 MAX_HEADER_LINE_BYTES = 65_536
@@ -88,4 +88,4 @@
 
 
 def _build_http_server(handler: t.Callable) -> web.Server:
-    return DiscreetServer(handler, **HTTP_SERVER_OPTIONS)
+    return RedactingServer(handler, **HTTP_SERVER_OPTIONS)
--- a/src/jasmineseam/transport/caller_connections.py
+++ b/src/jasmineseam/transport/caller_connections.py
@@ -32,7 +32,7 @@
 _logger = logbook.Logger("callers")
 
 
-class DiscreetConnection(RequestHandler):
+class RedactingConnection(RequestHandler):
     """aiohttp's protocol, without what a malformed request contains in logs and responses.
 
     aiohttp repeats the malformed line in both, which may be one that holds a key.
@@ -58,8 +58,8 @@
         return response
 
 
-class DiscreetServer(web.Server):
-    """aiohttp server whose connections are :class:`DiscreetConnection` objects.
+class RedactingServer(web.Server):
+    """aiohttp server whose connections are :class:`RedactingConnection` objects.
 
     :param handler: coroutine that handles a request.
     :param options: options of aiohttp's protocol.
@@ -69,12 +69,12 @@
         super().__init__(handler, handler_cancellation=True)
         self._options = options
 
-    def __call__(self) -> DiscreetConnection:
+    def __call__(self) -> RedactingConnection:
         """Return the protocol object of a new connection."""
-        return DiscreetConnection(self, loop=asyncio.get_running_loop(), **self._options)
+        return RedactingConnection(self, loop=asyncio.get_running_loop(), **self._options)
 
 
-class CallerConnection(DiscreetConnection):
+class CallerConnection(RedactingConnection):
     """aiohttp's protocol, extended by the state of the current request.
 
     The times are monotonic, in seconds. ``idle_since`` is the end of the last request, or the
