--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -23,6 +23,7 @@
 from ..routing.dispatch import Dispatcher
 from ..routing.dispatch import PlacementRequest
 from ..routing.load import ServerLoad
+from ..routing.probe_budget import USABLE_LIMIT_FRACTION
 from ..routing.probe_budget import OwnProbes
 from ..routing.request_shares import PROBES_PER_S
 from ..transport.response_memory import ResponseMemory
@@ -261,7 +262,7 @@
         bucket = load.request_bucket
         if bucket is not None and bucket.limits_probes:
             return False
-        if now - load.reported_at <= MIN_ASK_REPORT_AGE_S:
+        if not self._options.by_demand or now - load.reported_at <= MIN_ASK_REPORT_AGE_S:
             return False
         share = self._grants.get_share(dispatcher.service, load.failure_domain)
         return share.granted_per_s > 0.0
@@ -275,6 +276,8 @@
         if bucket is not None and bucket.limits_probes:
             interval_s = bucket.share.node_count / PROBES_PER_S
             return now - load.last_probe_at >= interval_s
+        if not self._options.by_demand:
+            return now - load.last_probe_at >= self._compute_equal_share_interval_s(dispatcher)
         share = self._grants.get_share(dispatcher.service, load.failure_domain)
         in_subset = load.borrowed_until is None
         probes_per_s = share.own_per_s if in_subset else share.borrower_per_s
@@ -283,9 +286,11 @@
         return self._own_probes.may_probe(load.server_id, probes_per_s, now)
 
     def _compute_equal_share_interval_s(self, dispatcher: Dispatcher) -> float:
-        """Return the interval of probes if all nodes that use a server shared them equally."""
-        limit_per_s = max(0.001, self.max_probes_per_s)
-        return dispatcher.node_count / limit_per_s
+        """Return the interval of probes if all nodes that use a server share them equally."""
+        limit_per_s = max(0.001, USABLE_LIMIT_FRACTION * self.max_probes_per_s)
+        # The subsets of dispatchers with different home regions are used by different nodes.
+        dispatcher_count = self._gateway.dispatchers.count(dispatcher.service)
+        return dispatcher_count * dispatcher.node_count / limit_per_s
 
     def _start_probe(self, dispatcher: Dispatcher, load: ServerLoad) -> asyncio.Task:
         load.last_probe_at = time.monotonic()
--- a/src/jasmineseam/operations/node_settings.py
+++ b/src/jasmineseam/operations/node_settings.py
@@ -137,10 +137,13 @@
 
     :param per_placement: number of servers that are probed before a request is placed; 0 for none.
     :param wait_s: time that a request waits for their reports at most, in seconds.
+    :param by_demand: whether nodes share the probes of a server by demand, with grants. Otherwise
+        each node has an equal share.
     """
 
     per_placement: t.Annotated[int, msgspec.Meta(ge=0, le=100)] = 4
     wait_s: Seconds = 0.025
+    by_demand: bool = False
 
 
 class NodeOptions(msgspec.Struct, kw_only=True, forbid_unknown_fields=True, frozen=True):
