--- a/tests/test_probes_by_demand.py
+++ b/tests/test_probes_by_demand.py
@@ -72,6 +72,7 @@
         node = simulated.node
         node.settings = msgspec.structs.replace(node.settings, probes_per_s=probes_per_s)
         node.prober.max_probes_per_s = probes_per_s
+        node.prober._options = msgspec.structs.replace(node.prober._options, by_demand=True)
         node.probe_grants.refresh()
 
 
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -234,6 +234,7 @@
             may_probe=lambda server_id, rate, now: rates.append(rate)
         )
         node.prober._own_probes = own_probes
+        node.prober._options = msgspec.structs.replace(node.prober._options, by_demand=True)
         node.prober._may_probe_unasked(base, load, 0.0)
         restrict(simulation, {"d1": "r1", "d2": "r2", "d3": "r3"}, ["r2"])
         regional = dispatchers.get(SERVICE, frozenset({"r2"}))
