--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,12 @@
 
 SIMULATIONS := tests/test_crash_quarantine.py tests/test_fleet.py tests/test_lost_paths.py \
 	tests/test_request_limits.py
-FLEET_SIMULATIONS := tests/test_cold_servers.py tests/test_evacuation.py tests/test_locator_freshness.py \
-	tests/test_probes_by_demand.py tests/test_quotas.py tests/test_regions.py tests/test_table_spreading.py
+SHARED_LIMIT_SIMULATIONS := tests/test_cold_servers.py tests/test_probes_by_demand.py \
+	tests/test_quotas.py
+SPREADING_SIMULATIONS := tests/test_evacuation.py tests/test_locator_freshness.py \
+	tests/test_regions.py tests/test_table_spreading.py
 
-.PHONY: demo demo-standalone test test-simulations test-fleet-simulations test-others lint format soak bench slopes lock clean
+.PHONY: demo demo-standalone test test-simulations test-shared-limits test-spreading test-others lint format soak bench slopes lock clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,17 +30,21 @@
 # Each group of simulations uses one core and hardly any real time, so they run beside the other
 # tests.
 test: $(STAMP)
-	$(MAKE) --no-print-directory --jobs 3 --output-sync=target test-simulations \
-		test-fleet-simulations test-others
+	$(MAKE) --no-print-directory --jobs 4 --output-sync=target test-simulations \
+		test-shared-limits test-spreading test-others
 
 test-simulations:
 	$(BIN)/python -m pytest $(SIMULATIONS)
 
-test-fleet-simulations:
-	$(BIN)/python -m pytest $(FLEET_SIMULATIONS)
+test-shared-limits:
+	$(BIN)/python -m pytest $(SHARED_LIMIT_SIMULATIONS)
+
+test-spreading:
+	$(BIN)/python -m pytest $(SPREADING_SIMULATIONS)
 
 test-others:
-	$(BIN)/python -m pytest $(addprefix --ignore=,$(SIMULATIONS) $(FLEET_SIMULATIONS))
+	$(BIN)/python -m pytest $(addprefix --ignore=,$(SIMULATIONS) \
+		$(SHARED_LIMIT_SIMULATIONS) $(SPREADING_SIMULATIONS))
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
