--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -684,7 +684,7 @@
         self._names_by_host[simulated.node.settings.vm.address] = name
         if knows_state:
             node = simulated.node
-            node._apply_routing_table(_build_table(self.warmup_requests_per_s), "store")
+            node._apply_routing_table(build_table(self.warmup_requests_per_s), "store")
             node.registry.replace_listings(list(self._listings.values()), self._position)
             node._publish_own_state()
         return simulated
@@ -850,7 +850,8 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def _build_table(warmup_requests_per_s):
+def build_table(warmup_requests_per_s=0.0):
+    """Return the routing table of the simulated services; 0 = no limit on cold servers."""
     services = [
         ServiceInfo(
             name=name, health_path=HEALTH_PATH, warmup_requests_per_s=warmup_requests_per_s
--- a/tests/test_table_spreading.py
+++ b/tests/test_table_spreading.py
@@ -13,7 +13,7 @@
 from jasmineseam.fleet.table_confirmation import MAX_TABLE_AGE_S
 from jasmineseam.routing.routes import ClientAccount
 from jasmineseam.routing.routes import hash_key
-from tests.node_simulation import _build_table
+from tests.node_simulation import build_table
 from tests.node_simulation import get_time
 from tests.node_simulation import run_simulation
 from tests.simulated_store import SimulatedStore
@@ -26,7 +26,7 @@
 async def attach_store(simulation, *, loss=0.0):
     """Let all nodes watch a store, at times that differ; return it when the fleet is settled."""
     store = SimulatedStore(simulation)
-    store.write_table(_build_table())
+    store.write_table(build_table())
 
     async def attach(simulated):
         await asyncio.sleep(simulation.rng.uniform(0.0, 1.0))
