Send only changed slots of quota logs

Each request of an account costs up to four datagrams, each with complete logs of 53 slots.

Change: receivers name the versions that they know, and get the slots that have changed since. Requests carry logs only to an owner that has not granted the last tokens. Owner and standby have one copy under way at a time. Field names are short.

--- a/src/jasmineseam/node/quotas.py
+++ b/src/jasmineseam/node/quotas.py
@@ -46,6 +46,9 @@
 # A request that reached no owner is to be sent again after this time, to another node if possible.
 UNREACHABLE_RETRY_AFTER_S = 0.2
 TICK_INTERVAL_S = 0.1
+# A copy of the logs of an account is followed by the next one when it has been answered, or after
+# this time.
+COPY_ANSWER_TIMEOUT_S = 0.02
 # A process whose timer is this late was paused. The requests that have waited in its socket since
 # then have been answered by the standby.
 PAUSE_THRESHOLD_S = 1.0
@@ -73,6 +76,19 @@
         self.answered_by = ""
 
 
+class _SentCopy:
+    """A copy of an account's logs that has not been answered.
+
+    :param outdated: whether the logs have changed since.
+    """
+
+    __slots__ = ("outdated", "sent_at")
+
+    def __init__(self, sent_at: float) -> None:
+        self.sent_at = sent_at
+        self.outdated = False
+
+
 class NodeQuotas:
     """The quotas of client accounts at one node.
 
@@ -118,6 +134,12 @@
         self._silent_until: dict[str, float] = {}
         # time of the first copy that the other of owner and standby has not answered
         self._unanswered_since: dict[str, float] = {}
+        # by account and receiver
+        self._sent_copies: dict[tuple[str, str], _SentCopy] = {}
+        # versions of an account's logs that the other of owner and standby knows
+        self._partner_versions: dict[tuple[str, str], dict[str, int]] = {}
+        # node that has granted the last tokens of an account to this one
+        self._last_owners: dict[str, str] = {}
         # unused tokens that were reported, by grant
         self._unused: dict[Token, int] = {}
         self._logged_at: dict[str, float] = {}
@@ -139,6 +161,11 @@
             for account in table.accounts
             if account.requests_per_s > 0.0
         }
+        self._partner_versions = {
+            key: versions
+            for key, versions in self._partner_versions.items()
+            if key[0] in self._quotas
+        }
         for name, tokens in list(self._tokens.items()):
             quota = self._quotas.get(name)
             if quota is not None and _is_same(quota, tokens.quota):
@@ -255,8 +282,14 @@
         else:
             self._ledger.merge(message.account, message.logs, now)
             self._ledger.record_coverage(message.account, message.covered_s, now)
+            key = message.account, message.sender
+            self._partner_versions[key] = message.known_versions
             if not message.is_reply:
                 self._send_copy(message.account, message.sender, is_reply=True)
+                return
+            sent = self._sent_copies.pop(key, None)
+            if sent is not None and sent.outdated:
+                self._send_copy(message.account, message.sender)
 
     async def run_forever(self) -> None:
         """Notice pauses of the process, and forget what has expired, until cancelled."""
@@ -278,6 +311,12 @@
             del self._pending[number]
         while len(self._unused) > 10_000:
             del self._unused[next(iter(self._unused))]
+        for (account, receiver_id), sent in list(self._sent_copies.items()):
+            if now - sent.sent_at < COPY_ANSWER_TIMEOUT_S:
+                continue
+            del self._sent_copies[account, receiver_id]
+            if sent.outdated:
+                self._send_copy(account, receiver_id)
 
     def count_granted(self) -> dict[str, int]:
         """Return the tokens granted within the last window, by account with a quota.
@@ -340,12 +379,15 @@
         )
 
     def _send_request(self, owner_id: str, quota: Quota, number: int, wanted: int) -> None:
+        now = self._clock()
+        is_informed = self._last_owners.get(quota.account) == owner_id
         request = QuotaRequest(
             sender=self._own_id,
             number=number,
             wanted=wanted,
             quota=quota,
-            logs=self._ledger.copy_logs(quota.account, self._clock()),
+            logs=[] if is_informed else self._ledger.copy_logs(quota.account, now),
+            known_versions=self._ledger.list_versions(quota.account, now),
         )
         self._send(self._candidates[owner_id].notice_address, request)
 
@@ -419,12 +461,13 @@
             number=request.number,
             tokens=decision.tokens,
             retry_after_s=decision.retry_after_s,
-            logs=self._ledger.copy_logs(account, self._clock()),
+            logs=self._ledger.copy_logs(account, self._clock(), request.known_versions),
         )
         self._send(sender.notice_address, grant)
 
     def _accept(self, grant: QuotaGrant) -> None:
         self._silent_until.pop(grant.sender, None)
+        self._last_owners[grant.account] = grant.sender
         pending = self._pending.get(grant.number)
         if pending is not None and pending.waiter is not None and not pending.answered_by:
             pending.answered_by = grant.sender
@@ -461,14 +504,21 @@
         if receiver is None:
             return
         now = self._clock()
+        key = account, receiver_id
         if not is_reply:
+            sent = self._sent_copies.get(key)
+            if sent is not None and now - sent.sent_at < COPY_ANSWER_TIMEOUT_S:
+                sent.outdated = True
+                return
+            self._sent_copies[key] = _SentCopy(now)
             self._unanswered_since.setdefault(receiver_id, now)
         copy = QuotaCopy(
             sender=self._own_id,
             account=account,
             is_reply=is_reply,
             covered_s=self._ledger.get_covered_s(account, now),
-            logs=self._ledger.copy_logs(account, now),
+            logs=self._ledger.copy_logs(account, now, self._partner_versions.get(key, {})),
+            known_versions=self._ledger.list_versions(account, now),
         )
         self._send(receiver.notice_address, copy)
 
--- a/src/jasmineseam/peers/messages.py
+++ b/src/jasmineseam/peers/messages.py
@@ -497,13 +497,32 @@
     forwarded: bool = False
 
 
-class QuotaRequest(Message, tag="quota-request"):
+# Short names, since several of these datagrams are sent for each request of a client account.
+_QUOTA_FIELDS = {
+    "sender": "s",
+    "account": "a",
+    "number": "n",
+    "wanted": "w",
+    "quota": "q",
+    "tokens": "t",
+    "retry_after_s": "r",
+    "unused": "u",
+    "is_reply": "p",
+    "covered_s": "c",
+    "logs": "l",
+    "known_versions": "k",
+}
+
+
+class QuotaRequest(Message, tag="quota-request", rename=_QUOTA_FIELDS):
     """Datagram that requests tokens of a client account from the account's owner.
 
     :param sender: VM of the node that requests them.
     :param number: number of the request at its sender, which a repeated request has, too.
     :param wanted: number of tokens.
-    :param logs: what owners have granted, as far as the sender knows.
+    :param logs: what owners have granted, as far as the sender knows; empty if the receiver has
+        granted the sender's last tokens.
+    :param known_versions: version of each owner's log that the sender knows.
     """
 
     sender: str
@@ -511,15 +530,16 @@
     wanted: t.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
     quota: Quota
     logs: list[LogCopy] = []
+    known_versions: dict[str, int] = {}
 
 
-class QuotaGrant(Message, tag="quota-grant"):
+class QuotaGrant(Message, tag="quota-grant", rename=_QUOTA_FIELDS):
     """Datagram that answers :class:`QuotaRequest`.
 
     :param sender: VM of the owner.
     :param tokens: number of granted tokens, 0 if none is due.
     :param retry_after_s: time until a token is due, in seconds.
-    :param logs: what owners have granted, as far as the sender knows.
+    :param logs: what owners have granted since the versions that the receiver knows.
     """
 
     sender: str
@@ -530,7 +550,7 @@
     logs: list[LogCopy] = []
 
 
-class QuotaReturn(Message, tag="quota-return"):
+class QuotaReturn(Message, tag="quota-return", rename=_QUOTA_FIELDS):
     """Datagram that returns tokens that were not used and will not be.
 
     :param number: number of the request by which they were granted.
@@ -543,11 +563,13 @@
     unused: t.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 
 
-class QuotaCopy(Message, tag="quota-copy"):
+class QuotaCopy(Message, tag="quota-copy", rename=_QUOTA_FIELDS):
     """Datagram by which the owner of an account and the next node in rank send their logs.
 
     :param is_reply: whether it answers another one, so that it needs no answer itself.
     :param covered_s: time for which the sender's logs have been complete, in seconds.
+    :param logs: what owners have granted since the versions that the receiver knows.
+    :param known_versions: version of each owner's log that the sender knows.
     """
 
     sender: str
@@ -555,6 +577,7 @@
     is_reply: bool = False
     covered_s: t.Annotated[float, msgspec.Meta(ge=0.0)] = 0.0
     logs: list[LogCopy] = []
+    known_versions: dict[str, int] = {}
 
 
 QuotaMessage = QuotaRequest | QuotaGrant | QuotaReturn | QuotaCopy
--- a/src/jasmineseam/routing/quotas.py
+++ b/src/jasmineseam/routing/quotas.py
@@ -53,6 +53,7 @@
 MAX_SENT_LOGS = 3
 # Longest span that a received log may name, in milliseconds; a longer one is malformed.
 MAX_AGE_MS = 600_000
+MAX_AGE_SLOTS = 100_000
 
 
 class Quota(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
@@ -69,19 +70,26 @@
 
 
 class LogCopy(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
-    """The tokens that one start of an owner has granted lately.
+    """The tokens that one start of an owner has granted lately, in slots of time.
 
     :param owner: the node and its start.
     :param version: increases with each change of the log.
-    :param slots: age in milliseconds and number of tokens, for each slot.
+    :param base_version: version that the receiver must know; the copy has the slots that have
+        changed since. 0 if the copy is complete.
+    :param slot: number of the latest slot of the log.
+    :param age_ms: time since the start of that slot, in milliseconds.
+    :param slots: how many slots before *slot*, and number of tokens, for each slot.
     """
 
     owner: str
     version: t.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+    base_version: t.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+    slot: t.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+    age_ms: t.Annotated[int, msgspec.Meta(ge=0, le=MAX_AGE_MS)]
     slots: list[
         tuple[
-            t.Annotated[int, msgspec.Meta(ge=0, le=MAX_AGE_MS)],
-            t.Annotated[int, msgspec.Meta(ge=1, le=10**6)],
+            t.Annotated[int, msgspec.Meta(ge=0, le=MAX_AGE_SLOTS)],
+            t.Annotated[int, msgspec.Meta(ge=0, le=10**6)],
         ]
     ]
 
@@ -185,19 +193,71 @@
 
 
 class _Log:
-    """Tokens granted by one start of an owner, in slots of time."""
+    """Tokens granted by one start of an owner, in slots of time.
 
-    __slots__ = ("slots", "version")
+    The owner numbers the slots. The time of a slot follows from the start of slot 0, which other
+    nodes learn from the age of the latest slot.
+    """
+
+    __slots__ = ("_changed_by", "_slots", "started_at", "version")
 
-    def __init__(self) -> None:
+    def __init__(self, started_at: float = 0.0) -> None:
         self.version = 0
-        # start of each slot and its number of tokens, in the order of time
-        self.slots: dict[float, int] = {}
+        # monotonic time at which slot 0 started
+        self.started_at = started_at
+        # number of tokens of each slot, and the version of its last change
+        self._slots: dict[int, int] = {}
+        self._changed_by: dict[int, int] = {}
+
+    def get_tokens(self, slot: int) -> int:
+        return self._slots.get(slot, 0)
+
+    def set_tokens(self, slot: int, tokens: int, version: int) -> None:
+        self._slots[slot] = tokens
+        self._changed_by[slot] = version
+        self.version = version
+
+    def count(self, oldest_at: float, slot_s: float) -> int:
+        """Return the tokens of all slots that start at *oldest_at* or later; forget the others."""
+        oldest = (oldest_at - self.started_at) / slot_s
+        for slot in [slot for slot in self._slots if slot < oldest]:
+            del self._slots[slot], self._changed_by[slot]
+        return sum(self._slots.values())
+
+    def list_starts(self, slot_s: float) -> t.Iterator[tuple[float, int]]:
+        """Return the start and the tokens of each slot."""
+        for slot, tokens in self._slots.items():
+            yield self.started_at + slot * slot_s, tokens
+
+    def copy(self, owner: str, known_version: int, now: float, slot_s: float) -> LogCopy:
+        """Return the slots that have changed since a version, 0 for all."""
+        latest = max(self._slots, default=max(0, int((now - self.started_at) / slot_s)))
+        age_s = now - self.started_at - latest * slot_s
+        return LogCopy(
+            owner=owner,
+            version=self.version,
+            base_version=known_version,
+            slot=latest,
+            age_ms=min(MAX_AGE_MS, max(0, int(age_s * 1000.0))),
+            slots=[
+                (latest - slot, tokens)
+                for slot, tokens in self._slots.items()
+                if self._changed_by[slot] > known_version
+            ],
+        )
 
-    def count(self, oldest_at: float) -> int:
-        for start in [start for start in self.slots if start < oldest_at]:
-            del self.slots[start]
-        return sum(self.slots.values())
+    def merge(self, copy: LogCopy, now: float, slot_s: float) -> None:
+        """Apply a copy, if it is newer and nothing is missing between the versions."""
+        if copy.version <= self.version or copy.base_version > self.version:
+            return
+        if not copy.base_version:
+            self._slots.clear()
+            self._changed_by.clear()
+        self.version = copy.version
+        self.started_at = now - copy.age_ms / 1000.0 - copy.slot * slot_s
+        for age, tokens in copy.slots:
+            self._slots[copy.slot - age] = tokens
+            self._changed_by[copy.slot - age] = copy.version
 
 
 class QuotaDecision(t.NamedTuple):
@@ -280,9 +340,8 @@
             return QuotaDecision(0, self._compute_retry_after_s(quota, now, share))
         reserve = ADVANCE_RESERVE_FRACTION * share * self.bounds.compute_limit(quota)
         advance = max(0, min(wanted - 1, MAX_ADVANCE_TOKENS, int(free - 1.0 - reserve)))
-        slot = math.floor(now / self.bounds.slot_s) * self.bounds.slot_s
-        own.slots[slot] = own.slots.get(slot, 0) + 1 + advance
-        own.version = self._get_next_version()
+        slot = math.floor((now - own.started_at) / self.bounds.slot_s)
+        own.set_tokens(slot, own.get_tokens(slot) + 1 + advance, self._get_next_version())
         decision = QuotaDecision(1 + advance, 0.0)
         self._grants[key] = _Grant(decision, slot, now)
         return decision
@@ -297,45 +356,53 @@
             return
         unused = min(unused, grant.decision.tokens)
         own = self._get_log(account, self.owner)
-        gained = min(unused - grant.returned, own.slots.get(grant.slot, 0))
+        tokens = own.get_tokens(grant.slot)
+        gained = min(unused - grant.returned, tokens)
         if gained <= 0:
             return
         grant.returned = unused
-        own.slots[grant.slot] -= gained
-        if not own.slots[grant.slot]:
-            del own.slots[grant.slot]
-        own.version = self._get_next_version()
+        own.set_tokens(grant.slot, tokens - gained, self._get_next_version())
 
     def merge(self, account: str, logs: t.Iterable[LogCopy], now: float) -> None:
         """Record what other owners have granted."""
         for copy in logs:
             if copy.owner == self.owner:
                 continue
-            log = self._get_log(account, copy.owner)
-            if copy.version <= log.version:
-                continue
-            log.version = copy.version
-            log.slots = {}
-            for age_ms, tokens in copy.slots:
-                start = now - age_ms / 1000.0
-                log.slots[start] = log.slots.get(start, 0) + tokens
-
-    def copy_logs(self, account: str, now: float) -> list[LogCopy]:
-        """Return the logs of an account that still count, the own one first, for a message."""
+            self._get_log(account, copy.owner).merge(copy, now, self.bounds.slot_s)
+
+    def copy_logs(
+        self, account: str, now: float, known_versions: t.Mapping[str, int] = {}
+    ) -> list[LogCopy]:
+        """Return the logs of an account that still count, the own one first, for a message.
+
+        :param known_versions: version of each owner's log that the receiver knows; it gets what
+            has changed since.
+        """
         copies = []
         oldest_at = now - self.bounds.history_s
+        slot_s = self.bounds.slot_s
         for owner, log in self._logs.get(account, {}).items():
+            known_version = known_versions.get(owner, 0)
+            if not log.version or log.version == known_version:
+                continue
             # The own log is also sent if returned tokens have emptied it.
-            if not log.version or (not log.count(oldest_at) and owner != self.owner):
+            if not log.count(oldest_at, slot_s) and owner != self.owner:
                 continue
-            slots = [
-                (min(MAX_AGE_MS, max(0, int((now - start) * 1000.0))), tokens)
-                for start, tokens in log.slots.items()
-            ]
-            copies.append(LogCopy(owner=owner, version=log.version, slots=slots))
+            if known_version > log.version:
+                known_version = 0
+            copies.append(log.copy(owner, known_version, now, slot_s))
         copies.sort(key=lambda copy: copy.owner != self.owner)
         return copies[:MAX_SENT_LOGS]
 
+    def list_versions(self, account: str, now: float) -> dict[str, int]:
+        """Return the version of each owner's log that this node knows and that still counts."""
+        oldest_at = now - self.bounds.history_s
+        return {
+            owner: log.version
+            for owner, log in self._logs.get(account, {}).items()
+            if owner != self.owner and log.count(oldest_at, self.bounds.slot_s)
+        }
+
     def get_covered_s(self, account: str, now: float) -> float:
         """Return for how long this node's logs of an account have been complete, in seconds."""
         return now - min(self._started_at, self._covered_since.get(account, math.inf))
@@ -358,7 +425,8 @@
     def count(self, account: str, now: float) -> int:
         """Return the number of tokens that all owners have granted within the history."""
         oldest_at = now - self.bounds.history_s
-        return sum(log.count(oldest_at) for log in self._logs.get(account, {}).values())
+        slot_s = self.bounds.slot_s
+        return sum(log.count(oldest_at, slot_s) for log in self._logs.get(account, {}).values())
 
     def expire(self, now: float) -> None:
         """Forget what no window can contain any more."""
@@ -368,14 +436,15 @@
                 del self._grants[key]
         for account, logs in list(self._logs.items()):
             for owner, log in list(logs.items()):
-                if not log.count(oldest_at) and owner != self.owner:
+                if not log.count(oldest_at, self.bounds.slot_s) and owner != self.owner:
                     del logs[owner]
-            if not any(log.slots for log in logs.values()):
+            if not self.count(account, now):
                 del self._logs[account]
 
     def _compute_free(self, quota: Quota, share: float, now: float) -> float:
         oldest_at = now - self.bounds.history_s
-        own = self._get_log(quota.account, self.owner).count(oldest_at)
+        own_log = self._get_log(quota.account, self.owner)
+        own = own_log.count(oldest_at, self.bounds.slot_s)
         granted_elsewhere = self.count(quota.account, now) - own
         free = share * (self.bounds.compute_limit(quota) - granted_elsewhere) - own
         if not self.is_covered(quota.account, now):
@@ -387,7 +456,8 @@
         missing = 1.0 - self._compute_free(quota, share, now)
         starts = collections.Counter()
         for log in self._logs[quota.account].values():
-            starts.update(log.slots)
+            for start, tokens in log.list_starts(self.bounds.slot_s):
+                starts[start] += tokens
         for start in sorted(starts):
             missing -= starts[start]
             if missing <= 0.0:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -284,6 +284,36 @@
     assert second.grant(QUOTA, "n", granted, 1, share=1.0, now=retry_at + 0.01).tokens == 1
 
 
+@pytest.mark.parametrize(
+    ("lost", "repeated", "expected"),
+    [((), (), [2, 4, 5]), ((1,), (), [2, 2, 2]), ((), (0, 1), [2, 4, 5])],
+)
+def test_changes_of_a_log_are_applied_only_to_their_base(lost, repeated, expected):
+    # Guards against a log that lacks grants, and so against a second burst, if a copy is lost.
+    bounds = QuotaBounds(window_s=5.0, overage=0.0, slack=20.0)
+    first, second = (
+        QuotaLedger(owner=owner, bounds=bounds, now=0.0, first_start=True)
+        for owner in ("a/1", "b/1")
+    )
+    known_versions = {}
+    copies = []
+    counts = []
+    for number, tokens in enumerate((2, 2, 1)):
+        now = 1.0 + 0.3 * number
+        first.grant(QUOTA, "n", number, tokens, share=1.0, now=now)
+        copies.append(first.copy_logs("x", now, known_versions))
+        # The owner takes the version as known as soon as it has sent it.
+        known_versions = {"a/1": copies[-1][0].version}
+        for position in [] if number in lost else [*repeated[:number], number]:
+            second.merge("x", copies[position], now)
+        counts.append(second.count("x", now))
+    assert counts == expected
+    assert len(copies[2][0].slots) == 1
+    # A complete copy repairs the loss.
+    second.merge("x", first.copy_logs("x", 2.0, second.list_versions("x", 2.0)), 2.0)
+    assert second.count("x", 2.0) == 5
+
+
 @pytest.mark.parametrize("first_start", [False, True])
 def test_owner_without_history_grants_only_part_of_the_tolerance(first_start):
     # Guards against a second burst if all nodes are restarted.
