Run pipelined idempotent requests concurrently, and bound uploads

Cause: requests of a connection were handled one after the other, also if they were idempotent. A body was received before the quota, the evacuation and the queue were looked at, all bodies of a node together had no bound, and a response that came before the end of a body was not read.

Change: CallerConnection starts idempotent requests, by route, ahead of their turn (16 and 256 KiB for each connection); aiohttp still writes the responses in order. What is behind a closing response is cancelled or never started. A planned stop closes with the last response of a started request. The state of a head is followed behind pending requests as well. Large bodies are sent in the background, and their connections are not used again.

--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -19,6 +19,7 @@
 from ..requests.protocol import ResponseHead
 from ..requests.protocol import ServerResponse
 from ..routing.attempt_race import race_attempts
+from ..routing.dispatch import MAX_QUEUED_REQUESTS
 from ..routing.dispatch import REASON_NO_SERVER
 from ..routing.dispatch import AccountShare
 from ..routing.dispatch import Dispatcher
@@ -121,6 +122,29 @@
         for budget in self._retry_budgets.values():
             budget.set_limits(retry_limits.share, retry_limits.allowance)
 
+    def check_service(self, proxied: ProxiedRequest, service: str) -> None:
+        """Refuse a request that no server can take, as far as that is known without waiting.
+
+        :raises NotRunError: if the service is evacuated, or its queue is too long.
+        """
+        if self._registry.is_evacuated(service):
+            raise NotRunError("evacuated", 503, EVACUATED_RETRY_AFTER_S)
+        regions = compute_home_regions(proxied.route, proxied.account)
+        dispatcher = self._dispatchers.get(service, regions)
+        if dispatcher.path.lost:
+            # Another node may reach the servers.
+            return
+        if not dispatcher.loads:
+            raise NotRunError(REASON_NO_SERVER, 503, dispatcher.estimate_retry_after_s())
+        if not dispatcher.count_queued():
+            return
+        # The queue of client accounts has an order in which this request may come first.
+        ready_at = time.monotonic() + dispatcher.estimate_wait_s() + dispatcher.service_time_s
+        full = dispatcher.count_queued() >= MAX_QUEUED_REQUESTS
+        if full or (proxied.account is None and ready_at > proxied.deadline_at):
+            reason = "queue-full" if full else "queue-too-long"
+            raise NotRunError(reason, 503, dispatcher.estimate_retry_after_s())
+
     async def run(self, proxied: ProxiedRequest, service: str) -> ServerResponse:
         """Run a request on the servers of a service until its deadline.
 
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -394,6 +394,8 @@
             "servers_age_s": round(self.registry.get_list_age_s(), 3),
             "evacuations": self.evacuation_notices.describe(),
             "in_flight": self.gateway.in_flight,
+            "read_ahead": dict(self.gateway.read_ahead_counts),
+            "held_body_bytes": self.gateway.held_bodies.size,
             "request_shares": self.gateway.dispatchers.get_request_shares(),
             "cold_servers": {
                 limit.server_id: round(limit.left_s, 3)
@@ -558,6 +560,10 @@
             addresses=self.settings.listeners,
             metrics_address=f"{self.settings.vm.address}:{port}" if port else "",
             handle_request=self.gateway.handle_request,
+            read_ahead_options={
+                "may_read_ahead": self.gateway.may_read_ahead,
+                "read_ahead_counts": self.gateway.read_ahead_counts,
+            },
             endpoints=endpoints,
         )
 
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -9,6 +9,7 @@
 
 import logbook
 from aiohttp import web
+from aiohttp.http import RawRequestMessage
 
 from ..exceptions import NotRunError
 from ..exceptions import UnknownOutcomeError
@@ -32,6 +33,9 @@
 from ..routing.routes import WeightedRoundRobin
 from ..transport.caller_connections import CallerConnection
 from ..transport.connection_pool import ConnectionPool
+from ..transport.request_body import HeldBodies
+from ..transport.request_body import HeldBody
+from ..transport.request_body import check_content_length
 from ..transport.request_body import read_body
 from .attempts import AttemptRunner
 from .authentication import Authenticator
@@ -119,8 +123,11 @@
         )
         # Returns the token of a request that was offered to no server.
         self.give_back_token: t.Callable[[Token | None], None] = lambda token: None
-        # While set, each response closes its caller connection.
+        # While set, each caller connection is closed with the last response to its requests.
         self.draining = False
+        self.held_bodies = HeldBodies()
+        # Requests that were started before the response to an earlier request of their connection.
+        self.read_ahead_counts: collections.Counter[str] = collections.Counter()
         self.in_flight = 0
         # Called with the duration of each request in seconds and its metric attributes.
         self.record_duration: t.Callable[[float, dict[str, str]], None] = lambda *_: None
@@ -223,15 +230,20 @@
         self.in_flight += 1
         connection: CallerConnection = request.protocol
         proxied = ProxiedRequest()
+        body = self.held_bodies.open()
         outcome = "cancelled"
         status = 0
         try:
             try:
                 if not connection.begin_request():
                     raise NotRunError("head-timeout", 408)
-                await self._read_request(request, proxied)
+                self._read_head(request, proxied)
                 service = self._service_balancer.choose_service(proxied.route)
-                server_response = await self._run_within_quota(proxied, service)
+                if request.body_exists:
+                    self._check_before_body(request, proxied, service)
+                server_response = await self._run_within_quota(
+                    proxied, service, lambda: self._read_body(request, proxied, body)
+                )
                 response = build_response(request.method, server_response)
                 outcome = OUTCOME_ANSWERED
             except NotRunError as error:
@@ -251,17 +263,24 @@
                 outcome = "fault"
             status = response.status
             if self.draining:
-                response.force_close()
+                connection.close_after_pending()
             return response
         finally:
             self.in_flight -= 1
+            body.close()
             connection.end_request()
             self._record_completion(proxied, outcome, status)
 
-    async def _run_within_quota(self, proxied: ProxiedRequest, service: str) -> ServerResponse:
+    async def _run_within_quota(
+        self,
+        proxied: ProxiedRequest,
+        service: str,
+        read_body: t.Callable[[], t.Awaitable[None]],
+    ) -> ServerResponse:
         """Run a request with a token of its account, which is returned if it was not sent."""
         token = await self.take_token(proxied.account)
         try:
+            await read_body()
             return await self.attempts.run(proxied, service)
         except (NotRunError, asyncio.CancelledError):
             # Another node to which the request was relayed may have offered it to a server.
@@ -293,7 +312,41 @@
         """Return the number of requests queued for a server."""
         return sum(dispatcher.count_queued() for dispatcher in self.dispatchers.list_all())
 
-    async def _read_request(self, request: web.BaseRequest, proxied: ProxiedRequest) -> None:
+    def may_read_ahead(self, message: RawRequestMessage) -> bool:
+        """Return whether a request may run beside earlier ones of its connection, by its head.
+
+        A request that no route matches is refused, so that it matters for no other one.
+        """
+        index = self._route_index
+        if index is None or self.draining:
+            return False
+        host = message.headers.get("Host", "").partition(":")[0]
+        route = index.find_route(host, message.path.partition("?")[0])
+        return route is None or route.idempotent
+
+    def _check_before_body(
+        self, request: web.BaseRequest, proxied: ProxiedRequest, service: str
+    ) -> None:
+        """Refuse a request that would be refused after its body was read, if that is known.
+
+        :raises NotRunError: if it is refused.
+        """
+        check_content_length(request, self.caller_limits.body_bytes)
+        self.attempts.check_service(proxied, service)
+
+    async def _read_body(
+        self, request: web.BaseRequest, proxied: ProxiedRequest, body: HeldBody
+    ) -> None:
+        if not request.body_exists:
+            return
+        proxied.body = await read_body(
+            request,
+            self.caller_limits.body_bytes,
+            proxied.deadline_at - time.monotonic(),
+            body.grow,
+        )
+
+    def _read_head(self, request: web.BaseRequest, proxied: ProxiedRequest) -> None:
         try:
             proxied.head = self._header_codec.decode_request(request.headers)
         except ValueError as error:
@@ -332,9 +385,6 @@
             - self._caller_round_trip_s
             - proxied.elapsed_before_arrival_s
         )
-        if request.body_exists:
-            limits = index.table.limits
-            proxied.body = await read_body(request, limits.body_bytes, remaining_s)
 
     def _build_internal_error_response(self, proxied: ProxiedRequest) -> web.Response:
         if proxied.sent:
--- a/src/jasmineseam/node/listeners.py
+++ b/src/jasmineseam/node/listeners.py
@@ -31,6 +31,8 @@
     :param addresses: the addresses to listen on.
     :param metrics_address: ``ip:port`` of the metrics endpoint, empty for none.
     :param handle_request: handles a request of a caller to a service.
+    :param read_ahead_options: ``may_read_ahead`` and ``read_ahead_counts`` of
+        :class:`CallerServer`.
     :param endpoints: handles all other requests.
     """
 
@@ -40,12 +42,15 @@
         addresses: NodeListeners,
         metrics_address: str,
         handle_request: t.Callable,
+        read_ahead_options: dict[str, t.Any],
         endpoints: NodeEndpoints,
     ) -> None:
         self._addresses = addresses
         self._metrics_address = metrics_address
         self._endpoints = endpoints
-        self.caller_server = CallerServer(handle_request, **HTTP_SERVER_OPTIONS)
+        self.caller_server = CallerServer(
+            handle_request, **read_ahead_options, **HTTP_SERVER_OPTIONS
+        )
         self._runners: list[web.ServerRunner] = []
 
     async def start(self) -> None:
@@ -71,6 +76,7 @@
         """Close connections that have been idle, or sent a request head, for too long."""
         self.caller_server.close_idle_connections(limits.idle_timeout_s)
         self.caller_server.time_out_slow_heads(limits.header_timeout_s)
+        self.caller_server.close_left_connections()
 
     async def close(self) -> None:
         """Close all listeners and connections."""
--- a/src/jasmineseam/node/server_client.py
+++ b/src/jasmineseam/node/server_client.py
@@ -32,6 +32,7 @@
 # Subtracted from the remaining time that is sent to the server, so that its response reaches the
 # node before the deadline.
 RESPONSE_MARGIN_S = 0.005
+MIN_CLIENT_ERROR_STATUS = 400
 MIN_SERVER_ERROR_STATUS = 500
 UNAVAILABLE_STATUS = 503
 # errors of attempts that end with a broken connection
@@ -129,7 +130,7 @@
             proxied.reached_server_ids.add(load.server_id)
             response = await self._send_and_receive(proxied, load, connection)
         finally:
-            if response is None:
+            if response is None or _may_have_unread_body(proxied, response):
                 connection.close()
             else:
                 self.connections.release(load.address, connection)
@@ -205,6 +206,16 @@
             load.eject(now)
 
 
+def _may_have_unread_body(proxied: ProxiedRequest, response: ServerResponse) -> bool:
+    """Return whether a server may have refused an upload without reading its body.
+
+    A connection does not reuse itself after a large body. This concerns small ones, which servers
+    of other routes are taken to read with the head.
+    """
+    refused = response.status >= MIN_CLIENT_ERROR_STATUS
+    return refused and proxied.route.large_bodies and bool(proxied.body)
+
+
 def _record_path_failure(
     path: ServicePath, load: ServerLoad, reason: str, started_at: float
 ) -> None:
--- a/src/jasmineseam/transport/caller_connections.py
+++ b/src/jasmineseam/transport/caller_connections.py
@@ -1,14 +1,25 @@
-"""Server side of the connections from callers, with idle and request head timeouts."""
+"""Server side of the connections from callers.
+
+Idle connections and request heads have timeouts. Requests that a caller sends before it has
+received the response to an earlier one are read ahead and run concurrently if they are idempotent.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import collections
+import socket
+import struct
 import time
 import typing as t
 
 import logbook
 from aiohttp import web
+from aiohttp.http import HttpVersion11
+from aiohttp.http import RawRequestMessage
+from aiohttp.http import StreamWriter
 from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
 # longer than any configured idle limit, because aiohttp's own limit cannot be changed at run time;
@@ -20,6 +31,20 @@
 # Larger than every configured limit of a head, which is checked when the head is complete, and
 # than the part of a body that may arrive before the request's handler starts.
 MAX_UNPARSED_BYTES = 1024 * 1024
+# Requests of a connection that run besides the first one whose response is not complete. More of
+# them would let one connection take all slots of a small service.
+MAX_READ_AHEAD_REQUESTS = 16
+# Bound on the heads and bodies of these requests, and on responses that wait for their turn. It is
+# also the most that is received at once, so that one connection does not hold much more.
+MAX_READ_AHEAD_BYTES = 262_144
+# The rest of a body that is not read any more is received for this time, and dropped. A caller
+# that is still sending gets the response; if the connection were closed at once, the reset
+# could overtake the response.
+LINGERING_TIME_S = 3.0
+# While the rest of an unread body is at most this, the connection stays open for further requests.
+MAX_DROPPED_BODY_BYTES = 65_536
+# state of an open TCP connection, in the first byte of TCP_INFO (Linux)
+_TCP_ESTABLISHED = 1
 HEAD_TOO_LARGE_RESPONSE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Connection: close\r\nContent-Length: 0\r\n\r\n"
@@ -74,19 +99,50 @@
         return RedactingConnection(self, loop=asyncio.get_running_loop(), **self._options)
 
 
+class _EarlyRequest:
+    """A request that was started before the response to an earlier one was complete.
+
+    :param size: size of its head and body, in bytes.
+    """
+
+    __slots__ = ("size", "task")
+
+    def __init__(self, task: asyncio.Task, size: int) -> None:
+        self.task = task
+        self.size = size
+
+    def count_bytes(self) -> int:
+        """Return the size of the request, and of its response if that is complete."""
+        if not self.task.done() or self.task.cancelled() or self.task.exception() is not None:
+            return self.size
+        body = getattr(self.task.result(), "body", None)
+        return self.size + (len(body) if isinstance(body, bytes) else 0)
+
+
 class CallerConnection(RedactingConnection):
-    """aiohttp's protocol, extended by the state of the current request.
+    """aiohttp's protocol, extended by requests that are read ahead and by timeouts.
+
+    aiohttp handles one request at a time, in the order in which they were sent. A request behind
+    the current one is started early in a task of its own. When its turn comes, aiohttp's handler
+    waits for that task. ``early`` holds these requests by the identity of their parsed message,
+    which stays in aiohttp's queue meanwhile.
 
     The times are monotonic, in seconds. ``idle_since`` is the end of the last request, or the
     start of the connection. ``head_started_at`` is the arrival of the first byte of the next
-    request, ``None`` if no byte has arrived. ``has_request`` is set while a request is being
-    handled, ``rejected`` once the connection is closed because of a slow or endless request head.
+    request, ``None`` if no byte has arrived. ``rejected`` is set once the connection is closed
+    because of a slow or endless request head.
     """
 
     __slots__ = (
+        "_closes_after_pending",
+        "_current_allows_more",
+        "_input_ended",
+        "_last_message",
+        "_last_payload",
+        "_running_count",
         "_served_request",
         "_unparsed_bytes",
-        "has_request",
+        "early",
         "head_started_at",
         "idle_since",
         "rejected",
@@ -96,38 +152,259 @@
         """Initialize the state of a new connection."""
         self.idle_since = time.monotonic()
         self.head_started_at: float | None = None
-        self.has_request = False
         self.rejected = False
+        self.early: dict[int, _EarlyRequest] = {}
+        self._running_count = 0
         self._served_request = False
         self._unparsed_bytes = 0
+        # parsed last, with the stream of its body
+        self._last_message: RawRequestMessage | None = None
+        self._last_payload: StreamReader | None = None
+        # whether the requests behind the current one may start before its response is complete
+        self._current_allows_more = False
+        # set when a slow or endless head was found behind a pending request
+        self._input_ended = False
+        # set by a planned stop
+        self._closes_after_pending = False
         super().connection_made(transport)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel the requests that were started early; aiohttp cancels the current one."""
+        self._current_allows_more = False
+        self.cancel_early()
+        super().connection_lost(exc)
+
+    @property
+    def has_request(self) -> bool:
+        """Whether a request was received whose response is not complete."""
+        waiter = self._waiter
+        return (
+            waiter is None
+            or waiter.done()
+            or bool(self._messages)
+            or bool(self.early)
+            or self._running_count > 0
+        )
+
     def data_received(self, data: bytes) -> None:
-        """Record the start of a request head, and pass the data to the parser."""
-        if not self.has_request and self.head_started_at is None:
-            self.head_started_at = time.monotonic()
-        if not self.has_request:
-            self._unparsed_bytes += len(data)
-            if self._unparsed_bytes > MAX_UNPARSED_BYTES:
-                # After an earlier request, the data may be the rest of its body, which calls for
-                # no further response.
-                self._reject(b"" if self._served_request else HEAD_TOO_LARGE_RESPONSE)
-                return
+        """Pass the data to the parser, bound request heads, and start requests early."""
+        if self._input_ended or self.rejected:
+            return
+        unread_body = self._last_payload is not None and not self._last_payload.is_eof()
+        body_left = self._count_body_left() if unread_body else 0
+        request_count = self._request_count
         super().data_received(data)
+        if self._request_count != request_count and self._messages:
+            self._last_message, self._last_payload = self._messages[-1]
+            if not isinstance(self._last_message, RawRequestMessage):
+                # A protocol error: its response closes the connection.
+                self._last_message = self._last_payload = None
+                self._input_ended = True
+            parsed = True
+        else:
+            parsed = False
+        if data:
+            self._track_head(data, parsed=parsed, unread_body=unread_body, body_left=body_left)
+        if parsed:
+            self.start_early()
+            if not self._buffer_paused and self._count_waiting_bytes() > MAX_READ_AHEAD_BYTES:
+                self._pause_reading_for_buffer()
+                self.head_started_at = None
+
+    def _count_body_left(self) -> int | None:
+        """Return the missing part of the last body, in bytes, ``None`` if it is not known."""
+        length = _get_content_length(self._last_message)
+        return None if length is None else length - self._last_payload.total_bytes
+
+    def _track_head(
+        self, data: bytes, *, parsed: bool, unread_body: bool, body_left: int | None
+    ) -> None:
+        """Find out whether the received data ends within a request head.
+
+        This affects the bounds on heads only, not how the data is parsed. If a part of a head is
+        overlooked, its time starts with the next data.
+        """
+        payload = self._last_payload
+        if self._input_ended or (payload is not None and not payload.is_eof()):
+            self._end_head()
+            return
+        if parsed:
+            length = _get_content_length(self._last_message) or 0
+            partial = not data[: len(data) - length].endswith(b"\r\n\r\n")
+            self._end_head()
+        elif unread_body:
+            self._end_head()
+            partial = (
+                not data.endswith(b"\r\n\r\n") if body_left is None else len(data) > body_left
+            )
+        else:
+            partial = True
+        if not partial or self._buffer_paused or self._upgraded:
+            return
+        if self.head_started_at is None:
+            self.head_started_at = time.monotonic()
+        self._unparsed_bytes += len(data)
+        if self._unparsed_bytes > MAX_UNPARSED_BYTES:
+            # After an earlier request, the data may be the rest of its body, which calls for
+            # no further response.
+            self._end_input(b"" if self._served_request else HEAD_TOO_LARGE_RESPONSE)
 
-    def begin_request(self) -> bool:
-        """Record that a request head is complete; return whether the request may still be run."""
-        self.has_request = True
+    def _end_head(self) -> None:
         self.head_started_at = None
         self._unparsed_bytes = 0
+
+    def begin_request(self) -> bool:
+        """Record the start of a request's handler; return whether the request may be run."""
+        self._running_count += 1
         return not self.rejected
 
     def end_request(self) -> None:
-        """Record that the response to the request is complete."""
-        self.has_request = False
+        """Record the end of a request's handler."""
+        self._running_count -= 1
         self._served_request = True
         self.idle_since = time.monotonic()
 
+    def close_after_pending(self) -> None:
+        """Close the connection with the last response to a request that has been started."""
+        self._closes_after_pending = True
+
+    async def take_turn(
+        self, request: web.BaseRequest, handler: t.Callable[..., t.Awaitable[web.StreamResponse]]
+    ) -> web.StreamResponse:
+        """Return the response to the request that is next in order.
+
+        :param handler: handles the request, unless it was started early.
+        """
+        message = request._message
+        server: CallerServer = self._manager
+        early = self.early.pop(id(message), None)
+        self._current_allows_more = server.may_read_ahead(message) and _is_plain(message)
+        self.resume_reading_ahead()
+        self.start_early()
+        try:
+            response = await (handler(request) if early is None else _await_early(early.task))
+        finally:
+            # Until the next request's turn begins, it is not known what may follow it.
+            self._current_allows_more = False
+            self.idle_since = time.monotonic()
+        self._close_if_last(request, response)
+        return response
+
+    def _close_if_last(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        """Decide whether a response closes the connection, and cancel what is behind it then."""
+        if self._closes_after_pending and not self.early:
+            response.force_close()
+        if self._input_ended and not self._messages:
+            response.force_close()
+        if not request.content.is_eof() and not self._may_drop_body(request):
+            response.force_close()
+        keep_alive = response.keep_alive
+        if keep_alive is None:
+            keep_alive = request.keep_alive
+        if not keep_alive:
+            self.cancel_early()
+
+    async def _handle_request(
+        self, request: web.BaseRequest, start_time: float | None, request_handler: t.Callable
+    ) -> tuple[web.StreamResponse, bool]:
+        response, reset = await super()._handle_request(request, start_time, request_handler)
+        malformed = request_handler is not self._request_handler
+        closes = not response.keep_alive and not reset and not malformed
+        if closes and self._has_unread_input(request):
+            await self._linger()
+        return response, reset
+
+    def _has_unread_input(self, request: web.BaseRequest) -> bool:
+        return (
+            self._input_ended
+            or self._buffer_paused
+            or bool(self._messages)
+            or self.head_started_at is not None
+            or not request.content.is_eof()
+        )
+
+    async def _linger(self) -> None:
+        """Receive and drop what the caller still sends, until it closes or for a bounded time."""
+        self._input_ended = True
+        self._lingering_time = 0.0
+        transport = self.transport
+        if transport is None:
+            return
+        if transport.can_write_eof():
+            transport.write_eof()
+        transport.resume_reading()
+        await asyncio.sleep(LINGERING_TIME_S)
+
+    def _may_drop_body(self, request: web.BaseRequest) -> bool:
+        """Return whether the rest of an unread body is small, and surely sent."""
+        length = request.content_length
+        if length is None or "Expect" in request.headers:
+            return False
+        return length - request.content.total_bytes <= MAX_DROPPED_BODY_BYTES
+
+    def start_early(self) -> None:
+        """Start the requests that may run before the response to the current one is complete."""
+        if not self._current_allows_more or self._closes_after_pending:
+            return
+        if not self._messages or self.transport is None:
+            return
+        server: CallerServer = self._manager
+        size = sum(early.count_bytes() for early in self.early.values())
+        for message, payload in self._messages:
+            if id(message) in self.early:
+                if message.should_close:
+                    return
+                continue
+            if not isinstance(message, RawRequestMessage) or not _is_plain(message):
+                return
+            if not server.may_read_ahead(message):
+                return
+            size += _count_bytes(message)
+            if len(self.early) >= MAX_READ_AHEAD_REQUESTS or size > MAX_READ_AHEAD_BYTES:
+                return
+            self._start(message, payload)
+            if message.should_close:
+                return
+
+    def _start(self, message: RawRequestMessage, payload: StreamReader) -> None:
+        server: CallerServer = self._manager
+        request = self._request_factory(
+            message, payload, self, StreamWriter(self, self._loop), self._task_handler
+        )
+        task = self._loop.create_task(server.handler(request))
+        self.early[id(message)] = _EarlyRequest(task, _count_bytes(message))
+        server.read_ahead_counts["started"] += 1
+
+    def cancel_early(self) -> None:
+        """Cancel the requests that were started early; they count as not read."""
+        pending, self.early = self.early, {}
+        for early in pending.values():
+            if not early.task.done():
+                self._manager.read_ahead_counts["cancelled"] += 1
+            early.task.cancel()
+
+    def _count_waiting_bytes(self) -> int:
+        """Return the size of the requests in the queue, as far as they were received."""
+        return sum(
+            _count_head_bytes(message) + payload.total_bytes
+            for message, payload in self._messages
+            if isinstance(message, RawRequestMessage)
+        )
+
+    def resume_reading_ahead(self) -> None:
+        """Resume reading if few requests are left in the queue."""
+        if not self._buffer_paused or self._upgraded or self._input_ended:
+            return
+        if self._count_waiting_bytes() > MAX_READ_AHEAD_BYTES // 2:
+            return
+        if len(self._messages) <= self._msg_queue_resume_size:
+            self._resume_reading_if_drained()
+
+    def _resume_reading_if_drained(self) -> None:
+        # aiohttp calls this when its queue is short; the requests in it may still be large.
+        if self._count_waiting_bytes() <= MAX_READ_AHEAD_BYTES // 2:
+            super()._resume_reading_if_drained()
+
     def is_idle(self, min_idle_s: float) -> bool:
         """Return whether the last *min_idle_s* seconds had no request and no data."""
         if self.has_request or self.head_started_at is not None:
@@ -135,14 +412,43 @@
         return time.monotonic() - self.idle_since >= min_idle_s
 
     def time_out_slow_head(self, timeout_s: float) -> None:
-        """Respond with 408 and close if the request head has taken *timeout_s* seconds or more."""
-        if self.has_request or self.head_started_at is None:
+        """End the input if a request head has taken *timeout_s* seconds or more.
+
+        Without a pending request, the response is 408 and the connection is closed at once.
+        """
+        if self._input_ended and not self.has_request:
+            self.force_close()
+        if self.head_started_at is None:
             return
         if time.monotonic() - self.head_started_at < timeout_s:
             return
-        self._reject(REQUEST_TIMEOUT_RESPONSE)
+        self._end_input(REQUEST_TIMEOUT_RESPONSE)
+
+    def close_if_caller_left(self) -> None:
+        """Close the connection if the caller has closed it and reading is paused.
 
-    def _reject(self, response: bytes) -> None:
+        While reading is paused, the event loop does not notice this.
+        """
+        if not self._buffer_paused or self.transport is None:
+            return
+        tcp_socket = self.transport.get_extra_info("socket")
+        if tcp_socket is None or not hasattr(socket, "TCP_INFO"):
+            return
+        (state,) = struct.unpack(
+            "B", tcp_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        )
+        if state != _TCP_ESTABLISHED:
+            self.transport.abort()
+
+    def _end_input(self, response: bytes) -> None:
+        """Close the connection because of its input, after the pending responses.
+
+        :param response: sent if no request is pending.
+        """
+        self.head_started_at = None
+        if self.has_request:
+            self._input_ended = True
+            return
         self.rejected = True
         if self.transport is not None and response:
             self.transport.write(response)
@@ -153,12 +459,32 @@
     """aiohttp server whose connections are :class:`CallerConnection` objects.
 
     :param handler: coroutine that handles a request.
+    :param may_read_ahead: returns whether a request may be started before the response to an
+        earlier one is complete, by its parsed head. None is by default.
+    :param read_ahead_counts: counts the requests that were ``started`` early, and of these the
+        ones that were ``cancelled``.
     :param options: options of aiohttp's protocol.
     """
 
-    def __init__(self, handler: t.Callable, **options: t.Any) -> None:
-        super().__init__(handler, handler_cancellation=True)
-        self._options = {**options, "keepalive_timeout": AIOHTTP_KEEPALIVE_TIMEOUT_S}
+    def __init__(
+        self,
+        handler: t.Callable,
+        *,
+        may_read_ahead: t.Callable[[RawRequestMessage], bool] = lambda message: False,
+        read_ahead_counts: collections.Counter[str] | None = None,
+        **options: t.Any,
+    ) -> None:
+        super().__init__(self._handle, handler_cancellation=True)
+        self.handler = handler
+        self.may_read_ahead = may_read_ahead
+        self.read_ahead_counts = (
+            collections.Counter() if read_ahead_counts is None else (read_ahead_counts)
+        )
+        self._options = {
+            "lingering_time": LINGERING_TIME_S,
+            **options,
+            "keepalive_timeout": AIOHTTP_KEEPALIVE_TIMEOUT_S,
+        }
 
     def __call__(self) -> CallerConnection:
         """Return the protocol object of a new connection."""
@@ -174,3 +500,43 @@
         """Time out connections whose request head has taken *timeout_s* seconds or more."""
         for connection in self.connections:
             connection.time_out_slow_head(timeout_s)
+
+    def close_left_connections(self) -> None:
+        """Close the connections that their callers have closed while reading was paused."""
+        for connection in self.connections:
+            connection.close_if_caller_left()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        return await request.protocol.take_turn(request, self.handler)
+
+
+async def _await_early(task: asyncio.Task) -> web.StreamResponse:
+    try:
+        return await task
+    finally:
+        task.cancel()
+
+
+def _is_plain(message: RawRequestMessage) -> bool:
+    """Return whether a request's end is known from its head, without an interim response."""
+    if message.version < HttpVersion11 or message.upgrade or message.chunked:
+        return False
+    return "Expect" not in message.headers
+
+
+def _get_content_length(message: RawRequestMessage) -> int | None:
+    """Return the length of a request's body, ``None`` if its head does not say it."""
+    if message.chunked:
+        return None
+    text = message.headers.get("Content-Length", "0")
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def _count_head_bytes(message: RawRequestMessage) -> int:
+    size = len(message.method) + len(message.path)
+    return size + sum(len(name) + len(value) for name, value in message.raw_headers)
+
+
+def _count_bytes(message: RawRequestMessage) -> int:
+    """Return the size of a request with a body of known length, in bytes."""
+    return _count_head_bytes(message) + (_get_content_length(message) or 0)
--- a/src/jasmineseam/transport/server_connection.py
+++ b/src/jasmineseam/transport/server_connection.py
@@ -39,6 +39,13 @@
 # idle connections are reused only for this fraction of the timeout in the Keep-Alive header, so
 # that no request is sent on a connection that the server is about to close
 IDLE_LIMIT_FRACTION = 0.8
+# A connection is not used again after a larger body. Its server may have responded without reading
+# all of it, which cannot be seen once the kernels hold the rest. Servers read bodies up to this
+# size together with the head.
+MAX_REUSABLE_BODY_BYTES = 65_536
+# A body is passed to the transport in parts of this size, since the transport copies what it
+# cannot send at once.
+BODY_PART_BYTES = 262_144
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d{1,6})", re.IGNORECASE)
 _TRANSPORT_ERRORS = (
     aiohttp.ClientError,
@@ -127,24 +134,40 @@
     :param now: current monotonic time, in seconds.
     """
 
-    __slots__ = ("_protocol", "idle_limit_s", "last_used_at", "request_count", "reused")
+    __slots__ = (
+        "_protocol",
+        "_sent_large_body",
+        "_upload",
+        "idle_limit_s",
+        "last_used_at",
+        "request_count",
+        "reused",
+    )
 
     def __init__(self, *, protocol: _ConnectionProtocol, now: float) -> None:
         self._protocol = protocol
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.last_used_at = now
         self.request_count = 0
+        self._sent_large_body = False
+        # sends the rest of a large body
+        self._upload: asyncio.Task | None = None
         # whether the connection was opened before its current use
         self.reused = False
 
     @property
     def is_reusable(self) -> bool:
-        """Whether the connection is open and has no unread data."""
+        """Whether the connection is open, has no unread data, and its server read all bodies."""
+        if self._sent_large_body:
+            return False
         return self._protocol.is_connected() and not self._protocol.should_close
 
     async def send(self, method: str, path: str, headers: CIMultiDict[str], body: bytes) -> None:
         """Send one request; once this has started, the server may run the request.
 
+        A large body is sent in the background, so that a response is received that arrives before
+        the server has read the body.
+
         :raises AttemptNotRunError: if the connection was closed before sending.
         :raises AttemptOutcomeUnknownError: if the connection breaks while sending.
         """
@@ -155,7 +178,12 @@
         writer = StreamWriter(self._protocol, asyncio.get_running_loop())
         try:
             await writer.write_headers(f"{method} {path} HTTP/1.1", headers)
-            await writer.write_eof(body)
+            if len(body) <= MAX_REUSABLE_BODY_BYTES:
+                await writer.write_eof(body)
+                return
+            self._sent_large_body = True
+            writer.send_headers()
+            self._upload = asyncio.create_task(_send_body(writer, body))
         except _TRANSPORT_ERRORS as error:
             raise AttemptOutcomeUnknownError("connection-broke") from error
 
@@ -216,6 +244,8 @@
 
     def close(self) -> None:
         """Abort the connection immediately, so that the server cancels a running request."""
+        if self._upload is not None:
+            self._upload.cancel()
         self._protocol.abort()
 
     def is_write_buffer_empty(self) -> bool:
@@ -241,6 +271,17 @@
             self.idle_limit_s = int(match[1]) * IDLE_LIMIT_FRACTION
 
 
+async def _send_body(writer: StreamWriter, body: bytes) -> None:
+    view = memoryview(body)
+    try:
+        for start in range(0, len(body), BODY_PART_BYTES):
+            await writer.write(view[start : start + BODY_PART_BYTES])
+            await writer.drain()
+    except _TRANSPORT_ERRORS:
+        # The broken connection is also noticed by whoever waits for the response.
+        return
+
+
 async def open_connection(address: str, timeout_s: float) -> ServerConnection:
     """Connect to a server.
 
--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -500,6 +500,9 @@
     def end_request(self):
         pass
 
+    def close_after_pending(self):
+        pass
+
 
 class _Request:
     """What the gateway reads of a caller's request."""
