--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -233,6 +233,9 @@
     async def take_token(account):
         return Token("x", "o", 1)
 
+    async def read_body():
+        """Read nothing."""
+
     gateway = types.SimpleNamespace(
         take_token=take_token,
         give_back_token=returned.append,
@@ -240,7 +243,7 @@
     )
     proxied = types.SimpleNamespace(account=None, sent=bool(attempts), attempt_trace=attempts)
     with pytest.raises(type(error)):
-        asyncio.run(Gateway._run_within_quota(gateway, proxied, "service"))
+        asyncio.run(Gateway._run_within_quota(gateway, proxied, "service", read_body))
     assert returned == ([Token("x", "o", 1)] if is_returned else [])
 
 
@@ -393,10 +396,10 @@
 
 def set_account(node, account):
     """Give all requests of a node an account."""
-    read_request = node.gateway._read_request
+    read_head = node.gateway._read_head
 
-    async def read_request_of_account(request, proxied):
-        await read_request(request, proxied)
+    def read_head_of_account(request, proxied):
+        read_head(request, proxied)
         proxied.account = account
 
-    node.gateway._read_request = read_request_of_account
+    node.gateway._read_head = read_head_of_account
