Leave slots to more urgent requests of other nodes; split the dispatcher

Cause: each node orders its own queue only. Among several nodes, a kind of requests with a tight target waits for a shorter time than a less urgent one and finds a free slot less often.

Change: less urgent requests leave a few of the free slots to more urgent ones, in proportion to the root of the slots that these would have. The only node of a service leaves none, since its queue orders all requests. routing/dispatch.py is split into queue order, server choice, reserved slots and retry reservations. A refusal is given a time that no earlier refusal of the node was given. Requests that come back go first within their rank.

test_lab.py names a constant by its new module; nothing else in it changes.

--- a/bench/lab.py
+++ b/bench/lab.py
@@ -20,7 +20,7 @@
 from jasmineseam.documents import read_file
 from jasmineseam.exceptions import SettingsError
 from jasmineseam.exceptions import ValidationFault
-from jasmineseam.routing import dispatch
+from jasmineseam.routing import server_choice
 
 from .fleet import FleetSettings
 from .fleet import FleetSimulation
@@ -30,7 +30,15 @@
 
 METRIC_NAMES = ("credit", "in_time", "late", "failed")
 # modules of jasmineseam.routing whose constants a variant may override
-TUNABLE_MODULES = ("dispatch", "load", "caller_timeout", "placement")
+TUNABLE_MODULES = (
+    "dispatch",
+    "load",
+    "caller_timeout",
+    "placement",
+    "queue_order",
+    "reserved_slots",
+    "retry_reservations",
+)
 
 
 class Variant(msgspec.Struct, kw_only=True, forbid_unknown_fields=True, frozen=True):
@@ -115,12 +123,12 @@
 
     :param name: name of a baseline; any other name keeps the product's function.
     """
-    original = dispatch.choose_servers
-    dispatch.choose_servers = PLACEMENT_BASELINES.get(name, original)
+    original = server_choice.choose_servers
+    server_choice.choose_servers = PLACEMENT_BASELINES.get(name, original)
     try:
         yield
     finally:
-        dispatch.choose_servers = original
+        server_choice.choose_servers = original
 
 
 def simulate(settings: FleetSettings, seed: int) -> SimulationResult:
--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -298,6 +298,7 @@
                 proxied.route.name, len(proxied.body)
             ),
             account=_build_account_share(proxied),
+            returned=proxied.elapsed_before_arrival_s > 0.0,
         )
 
     async def _send_hedged_attempt(
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -1,12 +1,11 @@
 """Dispatch of requests to the servers of one service, with a deadline-aware priority queue.
 
-Bursts exceed the capacity of the servers, and individual hosts become slow for a short time. A
-request is feasible while it can still meet its target latency on a host of normal speed. A
-feasible request that would miss its target at every server with a free slot is queued, so that it
-can use the first server that becomes fast or free. An infeasible request is placed only on a slot
-that feasible requests do not need; if there is none, it is rejected at once. The number of slots
-reserved for feasible requests is proportional to their fraction of the arriving requests. Requests
-with a higher priority are placed first.
+A feasible request that would miss its target at every server with a free slot is queued, so that
+it can use the first server that becomes fast or free. An infeasible request is placed only on a
+slot that feasible requests do not need; if there is none, it is rejected at once. The order of the
+queue is in ``queue_order``, the choice of a server in ``server_choice``. The slots that requests
+leave to others are in ``reserved_slots``, and the times at which rejected requests may come back
+in ``retry_reservations``.
 """
 
 from __future__ import annotations
@@ -19,30 +18,29 @@
 from ..exceptions import NotRunError
 from ..exceptions import PathLostError
 from .domain_choice import RoundTrips
-from .domain_choice import choose_domain
-from .domain_choice import split_by_domain
-from .fair_queueing import FairQueue
-from .fair_queueing import Rank
 from .load import MAX_FRESH_REPORT_AGE_S
 from .load import ServerLoad
 from .placement import ServerEstimate
 from .placement import SlownessEwma
-from .placement import choose_servers
+from .queue_order import AccountShare
+from .queue_order import PlacementRequest
+from .queue_order import QueuedRequest
+from .queue_order import RequestQueue
+from .queue_order import is_feasible
+from .reserved_slots import ReservedSlots
+from .retry_reservations import MAX_RETRY_AFTER_S
+from .retry_reservations import MIN_RETRY_AFTER_S
+from .retry_reservations import RetryReservations
+from .server_choice import BestServers
+from .server_choice import ServerChooser
 from .service_path import ServicePath
 from .service_times import ServiceTimes
 
+__all__ = ["AccountShare", "Dispatcher", "PlacementRequest"]
+
 QUEUE_RECHECK_INTERVAL_S = 0.01
-# fraction of the slots reserved for feasible requests while all arriving requests are feasible
-RESERVED_SHARE = 0.5
-# smoothing factor of the fraction of requests that are feasible on arrival
-FEASIBLE_FRACTION_EWMA_ALPHA = 0.02
-# a request is feasible while more than this many service times remain until its target
-SERVICE_TIME_MARGIN_FACTOR = 1.3
 # requests that may wait in a server's own queue, as a fraction of its slots
 MAX_SERVER_QUEUE_FRACTION = 0.5
-MAX_QUEUED_REQUESTS = 2000
-MIN_RETRY_AFTER_S = 0.05
-MAX_RETRY_AFTER_S = 1.0
 COMPLETION_RATE_WINDOW_S = 1.0
 NO_SERVER_RETRY_AFTER_S = 0.3
 PATH_LOST_RETRY_AFTER_S = 0.5
@@ -53,71 +51,6 @@
 LATE_RETRY_SHARE = 0.25
 
 
-class AccountShare(t.NamedTuple):
-    """The client account of a request, as far as it matters for the order of requests.
-
-    :param weight: quota in requests per second, 0 without a quota.
-    """
-
-    name: str
-    priority: int
-    weight: float
-
-
-# Requests without an account, on public routes, compete with those of accounts as one account.
-NO_ACCOUNT = AccountShare("", 0, 0.0)
-
-
-class PlacementRequest(t.NamedTuple):
-    """The requirements of one request on its server.
-
-    :param priority: 0 is the highest priority.
-    :param service_time_s: expected service time on a host of normal speed, in seconds.
-    :param target_at: time at which the response should be complete, on the dispatcher's clock.
-    :param deadline_at: time after which a response is useless, on the dispatcher's clock.
-    :param excluded_server_ids: servers that already received an attempt of the request.
-    :param idempotent: whether the request may be run more than once.
-    :param transfer_price_s: time that a server in another failure domain must save, in seconds.
-    :param account: client account, ``None`` if the configuration holds none.
-    """
-
-    priority: int
-    service_time_s: float
-    target_at: float
-    deadline_at: float
-    excluded_server_ids: set[str]
-    idempotent: bool = True
-    transfer_price_s: float = 0.0
-    account: AccountShare | None = None
-
-    @property
-    def rank(self) -> Rank:
-        """Urgency of the request among those of all accounts."""
-        return Rank(0 if self.account is None else self.account.priority, self.priority)
-
-
-class _QueuedRequest:
-    """A queued request.
-
-    :param placement_future: completes with the load of the chosen server, fails on a rejection.
-    :param fair_start: virtual start time among the requests of all accounts.
-    """
-
-    __slots__ = ("arrived_at", "fair_start", "placement_future", "request")
-
-    def __init__(
-        self,
-        request: PlacementRequest,
-        arrived_at: float,
-        placement_future: asyncio.Future,
-        fair_start: float,
-    ) -> None:
-        self.fair_start = fair_start
-        self.request = request
-        self.arrived_at = arrived_at
-        self.placement_future = placement_future
-
-
 class Dispatcher:
     """Chooses the server of each request to one service, in one node.
 
@@ -145,25 +78,24 @@
         self.regions = regions
         # differs from that of every other dispatcher of the node
         self.name = service if regions is None else f"{service}@{'+'.join(sorted(regions))}"
-        self._failure_domain = failure_domain
         self._clock = clock
-        self._rng = rng
         self.loads: dict[str, ServerLoad] = {}
         self.path = ServicePath(clock=clock)
         self.average_slowness = SlownessEwma()
         self._service_times = service_times or ServiceTimes()
-        self._round_trips = round_trips or RoundTrips()
+        self._server_chooser = ServerChooser(
+            failure_domain=failure_domain, rng=rng, round_trips=round_trips or RoundTrips()
+        )
         # number of nodes that send requests to the same servers, on average
         self.node_count = 1.0
         # called with this dispatcher when a request has to wait for a server
         self.on_queued: t.Callable[[Dispatcher], None] = lambda dispatcher: None
-        self._queue: list[_QueuedRequest] = []
-        # ``None`` until a request of a client account arrives
-        self._fair_queue: FairQueue | None = None
+        self._queue = RequestQueue()
+        self._reserved_slots = ReservedSlots()
+        self._retry_reservations = RetryReservations()
         self._timer: asyncio.TimerHandle | None = None
         self._completion_times: collections.deque[float] = collections.deque()
         self.last_request_at = float("-inf")
-        self._feasible_fraction = 1.0
 
     def count_queued(self) -> int:
         """Return the number of queued requests."""
@@ -179,15 +111,13 @@
             raise _build_path_lost_error()
         now = self._clock()
         self.last_request_at = now
-        feasible = self._is_feasible(request, now)
-        self._feasible_fraction += FEASIBLE_FRACTION_EWMA_ALPHA * (
-            feasible - self._feasible_fraction
-        )
-        fair_start = self._record_arrival(request)
-        queued = _QueuedRequest(
-            request, now, asyncio.get_running_loop().create_future(), fair_start
+        self._reserved_slots.record_arrival(request.rank, feasible=is_feasible(request, now))
+        queued = QueuedRequest(
+            request=request,
+            placement_future=asyncio.get_running_loop().create_future(),
+            fair_start=self._queue.record_arrival(request),
         )
-        if not self._must_queue(queued, now):
+        if not self._queue.must_wait(queued, now):
             estimates = self._estimate_best_servers(request, now)
             load = self._select_server(request, now, *estimates, contended=False)
             if load is not None:
@@ -230,7 +160,7 @@
         best_free, _ = self._estimate_best_servers(request, now)
         if best_free is None:
             return False
-        if not self._is_feasible(request, now):
+        if not is_feasible(request, now):
             return True
         if now - best_free.load.reported_at > MAX_FRESH_REPORT_AGE_S:
             return False
@@ -286,13 +216,15 @@
         # the estimates stay valid for all queued requests until one of them is placed
         shared_estimates = None
         contended = False
-        for queued in self._sort_queue(now):
+        for queued in self._queue.sort(now):
             if queued.placement_future.done():
                 continue
             request = queued.request
             if request.excluded_server_ids or shared_estimates is None:
                 estimates = self._estimate_best_servers(request, now)
-                if not request.excluded_server_ids and not self._uses_other_domains():
+                if not request.excluded_server_ids and not self._server_chooser.uses_other_domains(
+                    self.loads.values()
+                ):
                     shared_estimates = estimates
             else:
                 estimates = shared_estimates
@@ -324,8 +256,7 @@
         self.path.mark_lost()
         for load in self.loads.values():
             load.forget_failures()
-        queued_requests, self._queue = self._queue, []
-        for queued in queued_requests:
+        for queued in self._queue.remove_all():
             if not queued.placement_future.done():
                 queued.placement_future.set_exception(_build_path_lost_error())
 
@@ -384,126 +315,19 @@
         duration_s = request.service_time_s * max(1.0, self.average_slowness.value)
         return available_at + duration_s <= request.target_at
 
-    def _uses_other_domains(self) -> bool:
-        """Return whether servers of other failure domains are used besides own ones."""
-        domains = {load.failure_domain for load in self.loads.values()}
-        return len(domains) > 1 and self._failure_domain in domains
-
-    def _estimate_best_servers(
-        self, request: PlacementRequest, now: float
-    ) -> tuple[ServerEstimate | None, ServerEstimate | None]:
+    def _estimate_best_servers(self, request: PlacementRequest, now: float) -> BestServers:
         """Return the best server with a free slot and the best server overall."""
-        loads = list(self.loads.values())
-        excluded_server_ids = request.excluded_server_ids
-        if excluded_server_ids:
-            loads = [load for load in loads if load.server_id not in excluded_server_ids]
-        own, others = split_by_domain(loads, self._failure_domain)
-        if not own or not others:
-            return self._choose_servers(loads, now)
-        own_free, own_best = self._choose_servers(own, now)
-        other_free, other_best = self._choose_servers(others, now)
-
-        def choose(
-            own: ServerEstimate | None, other: ServerEstimate | None
-        ) -> ServerEstimate | None:
-            return choose_domain(
-                own,
-                None if other is None else self._add_round_trip(other, request),
-                service_time_s=request.service_time_s,
-                time_to_target_s=request.target_at - now,
-                price_s=request.transfer_price_s,
-            )
-
-        return choose(own_free, other_free), choose(own_best, other_best)
-
-    def _add_round_trip(
-        self, estimate: ServerEstimate, request: PlacementRequest
-    ) -> ServerEstimate:
-        """Add the longer network path to a server in another failure domain to its latency."""
-        extra_s = self._round_trips.get_extra_s(
-            estimate.load.failure_domain, own=self._failure_domain
-        )
-        if request.service_time_s <= 0.0:
-            return estimate
-        factor = estimate.latency_factor + extra_s / request.service_time_s
-        return estimate._replace(latency_factor=factor)
-
-    def _choose_servers(
-        self, loads: list[ServerLoad], now: float
-    ) -> tuple[ServerEstimate | None, ServerEstimate | None]:
-        return choose_servers(
-            loads,
-            now=now,
+        return self._server_chooser.choose(
+            self.loads.values(),
+            request,
+            now,
             average_slowness=self.average_slowness.value,
             service_time_s=self.service_time_s,
-            failure_domain=self._failure_domain,
-            rng=self._rng,
         )
 
-    def _is_feasible(self, request: PlacementRequest, now: float) -> bool:
-        return now + SERVICE_TIME_MARGIN_FACTOR * request.service_time_s < request.target_at
-
-    def _record_arrival(self, request: PlacementRequest) -> float:
-        """Count a request among those of all accounts; return its virtual start time."""
-        if request.account is not None and self._fair_queue is None:
-            self._fair_queue = FairQueue()
-        if self._fair_queue is None:
-            return 0.0
-        account = request.account or NO_ACCOUNT
-        self._fair_queue.record_arrival(request.rank, account.name)
-        return self._fair_queue.assign_start(account.name, account.weight)
-
-    def _record_placement(self, queued: _QueuedRequest) -> None:
-        if self._fair_queue is not None:
-            request = queued.request
-            account = request.account or NO_ACCOUNT
-            self._fair_queue.record_placement(request.rank, account.name, queued.fair_start)
-
-    def _must_queue(self, queued: _QueuedRequest, now: float) -> bool:
-        """Return whether requests that are queued already come before a new one."""
-        if self._fair_queue is None:
-            return self._has_feasible_queued_request(now, queued.request.priority)
-        key = self._get_fair_key(queued, now)
-        return any(
-            self._is_feasible(other.request, now) and self._get_fair_key(other, now) < key
-            for other in self._queue
-        )
-
-    def _get_fair_key(self, queued: _QueuedRequest, now: float) -> tuple:
-        """Return the key by which requests of client accounts are sorted."""
-        request = queued.request
-        rank = request.rank
-        return (
-            not self._fair_queue.is_starved(rank, (request.account or NO_ACCOUNT).name),
-            rank,
-            not self._is_feasible(request, now),
-            queued.fair_start,
-            request.target_at,
-        )
-
-    def _has_feasible_queued_request(self, now: float, priority: int) -> bool:
-        for queued in self._queue:
-            request = queued.request
-            if request.priority <= priority and self._is_feasible(request, now):
-                return True
-        return False
-
-    def _sort_queue(self, now: float) -> list[_QueuedRequest]:
-        """Return the queued requests in the order in which they are placed.
-
-        Feasible requests come first. Within both groups, requests are sorted by priority and then
-        by target. Requests of client accounts are sorted by their account's priority, their own
-        priority and their virtual start time.
-        """
-        if self._fair_queue is not None:
-            return sorted(self._queue, key=lambda queued: self._get_fair_key(queued, now))
-
-        def sort_key(queued: _QueuedRequest) -> tuple[bool, int, float]:
-            request = queued.request
-            infeasible = not self._is_feasible(request, now)
-            return (infeasible, request.priority, request.target_at)
-
-        return sorted(self._queue, key=sort_key)
+    def _record_placement(self, queued: QueuedRequest) -> None:
+        self._queue.record_placement(queued)
+        self._reserved_slots.record_placement(queued.request.rank)
 
     def _select_server(
         self,
@@ -525,13 +349,15 @@
             if self._expects_token(request, now):
                 return None
             raise NotRunError(self._get_unavailable_reason(), 503, self.estimate_retry_after_s())
+        if best_free is not None and self._must_leave_slots(request, now):
+            best_free = None
         service_time_s = request.service_time_s
         if (
             best_free is not None
             and now + best_free.latency_factor * service_time_s <= request.target_at
         ):
             return best_free.load
-        if self._is_feasible(request, now):
+        if is_feasible(request, now):
             return None
         if now >= request.deadline_at:
             raise NotRunError("deadline", 503, MIN_RETRY_AFTER_S)
@@ -561,29 +387,49 @@
         for load in self.loads.values():
             in_flight += load.count_in_flight(now)
             slots += load.slots
-        return in_flight >= (1.0 - RESERVED_SHARE * self._feasible_fraction) * slots
+        return in_flight >= slots - self._reserved_slots.compute_for_feasible(slots)
+
+    def _must_leave_slots(self, request: PlacementRequest, now: float) -> bool:
+        """Return whether the free slots are reserved for more urgent requests of other nodes."""
+        slots = sum(load.slots for load in self.loads.values())
+        reserved = round(
+            self._reserved_slots.compute_for_urgent(
+                request.rank, slots=slots, node_count=self.node_count
+            )
+        )
+        if not reserved or self._queue.is_starved(request):
+            return False
+        # A queue at one server takes no free slot from another one.
+        free = sum(max(0, load.slots - load.count_in_flight(now)) for load in self.loads.values())
+        return free <= reserved
 
     def _build_overload_error(self, request: PlacementRequest, now: float) -> NotRunError:
         wait_s = max(self.estimate_wait_s(), LATE_RETRY_SHARE * (request.deadline_at - now))
-        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
-        return NotRunError("overloaded", 503, retry_after_s)
+        return NotRunError("overloaded", 503, self._reserve_retry(request, now, wait_s))
+
+    def _reserve_retry(self, request: PlacementRequest, now: float, wait_s: float) -> float:
+        """Reserve a time at which a rejected request can be placed; return the time until then.
+
+        :param wait_s: shortest time until then, in seconds.
+        """
+        retry_at = self._retry_reservations.reserve(
+            now,
+            earliest_at=now + max(MIN_RETRY_AFTER_S, wait_s),
+            deadline_at=request.deadline_at,
+            interval_s=1.0 / max(1.0, self._estimate_capacity_per_s()),
+        )
+        return min(MAX_RETRY_AFTER_S, retry_at - now)
 
-    def _check_queue_limits(self, queued: _QueuedRequest, now: float) -> None:
+    def _check_queue_limits(self, queued: QueuedRequest, now: float) -> None:
         request = queued.request
-        if len(self._queue) >= MAX_QUEUED_REQUESTS:
-            raise NotRunError("queue-full", 503, self._compute_retry_after_s())
-        wait_s = self.estimate_wait_s()
-        if self._fair_queue is not None and self._queue:
-            # Only requests that come first delay this one.
-            key = self._get_fair_key(queued, now)
-            ahead = sum(self._get_fair_key(other, now) < key for other in self._queue)
-            wait_s *= ahead / len(self._queue)
+        if self._queue.full:
+            wait_s = self.estimate_wait_s()
+            raise NotRunError("queue-full", 503, self._reserve_retry(request, now, wait_s))
+        queue_wait_s = self.estimate_wait_s()
+        wait_s = queue_wait_s * self._queue.compute_fraction_ahead(queued, now)
         if now + wait_s + self.service_time_s > request.deadline_at:
-            raise NotRunError("queue-too-long", 503, self._compute_retry_after_s())
-
-    def _compute_retry_after_s(self) -> float:
-        wait_s = self.estimate_wait_s()
-        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+            retry_after_s = self._reserve_retry(request, now, queue_wait_s)
+            raise NotRunError("queue-too-long", 503, retry_after_s)
 
     def _start_timer(self) -> None:
         if self._timer is None:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -9,7 +9,7 @@
 from bench.lab import Variant
 from bench.lab import run_variant
 from jasmineseam.exceptions import SettingsError
-from jasmineseam.routing import dispatch
+from jasmineseam.routing import reserved_slots
 
 FLEET = FleetSettings(
     servers=12,
@@ -42,10 +42,10 @@
 
 
 def test_a_variant_overrides_constants_only_while_it_is_simulated():
-    original = dispatch.RESERVED_SHARE
-    variant = Variant(name="none", constants={"dispatch.RESERVED_SHARE": 0.0})
+    original = reserved_slots.RESERVED_SHARE
+    variant = Variant(name="none", constants={"reserved_slots.RESERVED_SHARE": 0.0})
     run_variant(make_experiment(), variant)
-    assert original == dispatch.RESERVED_SHARE
+    assert original == reserved_slots.RESERVED_SHARE
 
 
 @pytest.mark.parametrize(
