--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -19,7 +19,6 @@
 from ..requests.protocol import ResponseHead
 from ..requests.protocol import ServerResponse
 from ..routing.attempt_race import race_attempts
-from ..routing.dispatch import MAX_QUEUED_REQUESTS
 from ..routing.dispatch import REASON_NO_SERVER
 from ..routing.dispatch import AccountShare
 from ..routing.dispatch import Dispatcher
@@ -28,6 +27,7 @@
 from ..routing.load import ServerLoad
 from ..routing.quarantine import Admission
 from ..routing.quarantine import CrashQuarantine
+from ..routing.queue_order import MAX_QUEUED_REQUESTS
 from ..routing.window_retry_budget import SlidingWindowRetryBudget
 from ..transport.connection_pool import ConnectionPool
 from .crash_reports import CrashDetector
@@ -322,6 +322,7 @@
                 proxied.route.name, len(proxied.body)
             ),
             account=_build_account_share(proxied),
+            returned=proxied.elapsed_before_arrival_s > 0.0,
         )
 
     async def _send_hedged_attempt(
