Keep hashes and counts of nodes instead of computing them for each message

A node of a large fleet compared and counted all nodes whenever a message changed one of them: hashes over all states, two counts, and the owners of all probe grants.

The hashes are updated with each change, the counts are kept until one of them changes, and the owners of probe grants are chosen at regular intervals and for each request, as before, but not for each change of a node. The state machine test of the membership now also distrusts nodes, and compares the counts with those of a list.

--- a/src/jasmineseam/membership/nodes.py
+++ b/src/jasmineseam/membership/nodes.py
@@ -75,7 +75,7 @@
 
 
 class _Member:
-    __slots__ = ("heard_at", "info", "status", "status_at")
+    __slots__ = ("digested", "heard_at", "info", "status", "status_at")
 
     def __init__(self, info: NodeInfo, now: float) -> None:
         self.info = info
@@ -83,6 +83,8 @@
         self.status_at = now
         # time of the last message of the node itself, or of a newer state from another node
         self.heard_at = now
+        # whether the hashes of the membership include the state
+        self.digested = False
 
 
 class NodeMembership:
@@ -105,9 +107,11 @@
 
     __slots__ = (
         "_clock",
+        "_digested_own",
         "_digests",
-        "_digests_version",
         "_distrusted_at",
+        "_domain_counts",
+        "_domain_counts_until",
         "_members",
         "own",
         "state_changes",
@@ -121,8 +125,14 @@
         self.state_changes = 0
         # what was known before this time does not count
         self._distrusted_at = float("-inf")
-        self._digests: list[int] = []
-        self._digests_version = (-1, -1)
+        # result of count_by_domain and the time until which it holds; ``None`` after a change
+        self._domain_counts: collections.Counter[str] | None = None
+        self._domain_counts_until = float("inf")
+        # Hashes over the states of groups of nodes. They are updated with each change, because a
+        # node of a large fleet compares them with each of many messages that change its members.
+        self._digests = [0] * DIGEST_GROUP_COUNT
+        self._digested_own = own
+        self._toggle_digest(own)
 
     def update_own(self, **changes: t.Any) -> bool:
         """Change fields of the own state; return whether any differs, with a new version."""
@@ -154,7 +164,16 @@
                 member.info = info
                 self.state_changes += 1
             return False
-        self._members[info.vm_id] = _Member(info, self._clock())
+        if member is not None and member.digested:
+            self._toggle_digest(member.info)
+        if (
+            member is None
+            or member.status is NodeStatus.FAILED
+            or _get_counted(member.info) != _get_counted(info)
+        ):
+            self._domain_counts = None
+        self._members[info.vm_id] = member = _Member(info, self._clock())
+        self._update_digest(member)
         self.state_changes += 1
         return True
 
@@ -174,6 +193,7 @@
                 self.state_changes += 1
             member.heard_at = self._clock()
             self._set_status(member, NodeStatus.ALIVE)
+            self._update_digest(member)
         return new
 
     def distrust(self) -> None:
@@ -184,6 +204,7 @@
         self._distrusted_at = self._clock()
         for member in self._members.values():
             member.heard_at = min(member.heard_at, self._distrusted_at - 1.0)
+            self._update_digest(member)
         self.state_changes += 1
 
     def list_distrusted(self) -> list[NodeInfo]:
@@ -191,7 +212,7 @@
         return [
             member.info
             for member in self._members.values()
-            if member.status != NodeStatus.FAILED and not self._is_trusted(member)
+            if member.status is not NodeStatus.FAILED and not self._is_trusted(member)
         ]
 
     def is_suspected(self, info: NodeInfo) -> bool:
@@ -199,7 +220,7 @@
         member = self._members.get(info.vm_id)
         if member is None or member.info.version > info.version:
             return False
-        return member.status != NodeStatus.ALIVE
+        return member.status is not NodeStatus.ALIVE
 
     def suspect(self, vm_id: str, version: int) -> bool:
         """Suspect a node in one version of its state; return whether this was new.
@@ -211,7 +232,7 @@
         member = self._members.get(vm_id)
         if member is None or member.info.version != version:
             return False
-        if member.status != NodeStatus.ALIVE:
+        if member.status is not NodeStatus.ALIVE:
             return False
         self._set_status(member, NodeStatus.SUSPECTED)
         return True
@@ -225,11 +246,11 @@
         failed = []
         for vm_id, member in list(self._members.items()):
             age_s = now - member.status_at
-            if member.status == NodeStatus.SUSPECTED and age_s >= SUSPICION_TIMEOUT_S:
+            if member.status is NodeStatus.SUSPECTED and age_s >= SUSPICION_TIMEOUT_S:
                 self._set_status(member, NodeStatus.FAILED)
                 failed.append(member.info)
                 continue
-            if member.status == NodeStatus.FAILED and age_s >= FORGET_AFTER_S:
+            if member.status is NodeStatus.FAILED and age_s >= FORGET_AFTER_S:
                 del self._members[vm_id]
                 self.state_changes += 1
         return failed
@@ -248,13 +269,15 @@
     def list_peers(self) -> list[NodeInfo]:
         """Return the other nodes that have not failed."""
         return [
-            member.info for member in self._members.values() if member.status != NodeStatus.FAILED
+            member.info
+            for member in self._members.values()
+            if member.status is not NodeStatus.FAILED
         ]
 
     def list_failed(self) -> list[NodeInfo]:
         """Return the nodes that have failed and are not forgotten."""
         return [
-            member.info for member in self._members.values() if member.status == NodeStatus.FAILED
+            member.info for member in self._members.values() if member.status is NodeStatus.FAILED
         ]
 
     def list_live(self) -> list[NodeInfo]:
@@ -275,17 +298,10 @@
 
         :param failure_domain: if set, only nodes in it are counted.
         """
-        now = self._clock()
-        count = failure_domain in (None, self.own.failure_domain)
-        for member in self._members.values():
-            if member.info.leaving:
-                continue
-            if failure_domain is not None and member.info.failure_domain != failure_domain:
-                continue
-            if member.status == NodeStatus.FAILED and now - member.status_at >= FAILED_RETENTION_S:
-                continue
-            count += 1
-        return max(1, int(count))
+        counts = self.count_by_domain()
+        if failure_domain is None:
+            return sum(counts.values())
+        return max(1, counts.get(failure_domain, 0))
 
     def count_by_domain(self) -> dict[str, int]:
         """Return the number of nodes of each failure domain that share the fleet's limits.
@@ -293,13 +309,24 @@
         The nodes are those of :meth:`count`.
         """
         now = self._clock()
+        if self._domain_counts is None or now >= self._domain_counts_until:
+            self._domain_counts, self._domain_counts_until = self._compute_domain_counts(now)
+        return dict(self._domain_counts)
+
+    def _compute_domain_counts(self, now: float) -> tuple[collections.Counter[str], float]:
+        """Return the result of :meth:`count_by_domain`, and the time until which it holds."""
         counts: collections.Counter[str] = collections.Counter([self.own.failure_domain])
+        until = float("inf")
         for member in self._members.values():
-            failed = member.status == NodeStatus.FAILED
-            if member.info.leaving or (failed and now - member.status_at >= FAILED_RETENTION_S):
+            if member.info.leaving:
                 continue
+            if member.status is NodeStatus.FAILED:
+                counted_until = member.status_at + FAILED_RETENTION_S
+                if now >= counted_until:
+                    continue
+                until = min(until, counted_until)
             counts[member.info.failure_domain] += 1
-        return dict(counts)
+        return counts, until
 
     def count_reachable(self, failure_domain: str, *, message_kinds: int = 0) -> int:
         """Return the number of nodes of a failure domain that answer, including this node.
@@ -310,7 +337,7 @@
         nodes += [
             member.info
             for member in self._members.values()
-            if member.status == NodeStatus.ALIVE and not member.info.leaving
+            if member.status is NodeStatus.ALIVE and not member.info.leaving
         ]
         return sum(
             info.failure_domain == failure_domain and info.message_kinds >= message_kinds
@@ -320,23 +347,17 @@
     def count_alive(self) -> int:
         """Return the number of nodes of :meth:`count` that are neither suspected nor failed."""
         return 1 + sum(
-            member.status == NodeStatus.ALIVE and not member.info.leaving
+            member.status is NodeStatus.ALIVE and not member.info.leaving
             for member in self._members.values()
         )
 
     def compute_digests(self) -> list[int]:
         """Return one hash per group of nodes, over the versions of alive nodes' states."""
-        version = (self.state_changes, self.own.version)
-        if version == self._digests_version:
-            return self._digests
-        digests = [0] * DIGEST_GROUP_COUNT
-        for info in self._list_alive():
-            digests[_get_group(info)] ^= xxhash.xxh3_64_intdigest(
-                f"{info.vm_id} {info.version}".encode()
-            )
-        self._digests = digests
-        self._digests_version = version
-        return digests
+        if self._digested_own is not self.own:
+            self._toggle_digest(self._digested_own)
+            self._toggle_digest(self.own)
+            self._digested_own = self.own
+        return list(self._digests)
 
     def list_differing(self, digests: list[int]) -> tuple[list[NodeInfo], list[tuple[str, int]]]:
         """Return the nodes of all groups whose hash differs from the one in a list of hashes.
@@ -353,7 +374,7 @@
         suspected = [
             (vm_id, member.info.version)
             for vm_id, member in self._members.items()
-            if member.status != NodeStatus.ALIVE and differs(member.info)
+            if member.status is not NodeStatus.ALIVE and differs(member.info)
         ]
         return [info for info in self._list_alive() if differs(info)], suspected
 
@@ -366,15 +387,30 @@
         return member.heard_at >= self._distrusted_at
 
     def _is_alive(self, member: _Member) -> bool:
-        return member.status == NodeStatus.ALIVE and self._is_trusted(member)
+        return member.status is NodeStatus.ALIVE and self._is_trusted(member)
 
     def _set_status(self, member: _Member, status: NodeStatus) -> None:
-        if member.status == status:
+        if member.status is status:
             return
+        if NodeStatus.FAILED in (member.status, status):
+            self._domain_counts = None
         member.status = status
         member.status_at = self._clock()
+        self._update_digest(member)
         self.state_changes += 1
 
+    def _update_digest(self, member: _Member) -> None:
+        """Add a state to the hashes or remove it, as the node is taken as alive or not."""
+        if self._is_alive(member) == member.digested:
+            return
+        member.digested = not member.digested
+        self._toggle_digest(member.info)
+
+    def _toggle_digest(self, info: NodeInfo) -> None:
+        self._digests[_get_group(info)] ^= xxhash.xxh3_64_intdigest(
+            f"{info.vm_id} {info.version}".encode()
+        )
+
 
 def combine_digests(digests: list[int]) -> int:
     """Return one hash over the hashes of all groups.
@@ -388,5 +424,10 @@
     return combined
 
 
+def _get_counted(info: NodeInfo) -> tuple[str, bool]:
+    """Return what decides whether and where a node is counted."""
+    return info.failure_domain, info.leaving
+
+
 def _get_group(info: NodeInfo) -> int:
     return xxhash.xxh3_64_intdigest(info.vm_id.encode()) % DIGEST_GROUP_COUNT
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -503,11 +503,11 @@
 
     def _apply_node_count(self) -> None:
         """Adapt shared limits and the subsets of servers to the number of nodes."""
-        membership = self.fleet.membership
+        counts = self.fleet.membership.count_by_domain()
         self.gateway.dispatchers.set_node_counts(
-            membership.count(), membership.count(self.settings.vm.failure_domain)
+            sum(counts.values()), counts[self.settings.vm.failure_domain]
         )
-        self.probe_grants.refresh()
+        self.probe_grants.forget_shares()
 
     async def _run_supervised(self, run_forever: t.Callable[[], t.Awaitable[None]]) -> None:
         """Run a background task, and start it again after an unexpected error.
@@ -535,6 +535,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._apply_node_count()
+            self.probe_grants.refresh()
             self.gateway.dispatchers.follow_share_candidates()
             self.evacuation_notices.maintain()
             self.fleet.update_own(ready=self.ready, leaving=self._leaving)
--- a/src/jasmineseam/node/probe_grants.py
+++ b/src/jasmineseam/node/probe_grants.py
@@ -112,9 +112,17 @@
         """Return the services whose probes this node grants in its failure domain."""
         return sorted(self._owned)
 
-    def refresh(self) -> None:
-        """Apply changes of nodes and servers; called at regular intervals."""
+    def forget_shares(self) -> None:
+        """Compute the shares anew when they are next needed; called when nodes have changed."""
         self._shares.clear()
+
+    def refresh(self) -> None:
+        """Apply changes of nodes and servers; called at regular intervals.
+
+        It is not called for each change of a node, because choosing the owners takes long in a
+        large fleet. A node that asks for probes is answered by the state of that moment.
+        """
+        self.forget_shares()
         now = time.monotonic()
         for dispatcher in self._dispatchers.list_all():
             owned = self._refresh_owned(dispatcher.service)
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -139,6 +139,7 @@
         self.clock = FakeClock()
         self.membership = make_membership(self.clock)
         self.versions = {}
+        self.failed_at = {}
 
     @rule(name=NAMES, version=st.integers(0, 6), ready=st.booleans(), leaving=st.booleans())
     def apply(self, name, version, ready, leaving):
@@ -156,7 +157,12 @@
     @rule(seconds=st.sampled_from([0.5, 1.5, 40.0, 130.0]))
     def wait(self, seconds):
         self.clock.now += seconds
-        self.membership.expire()
+        for info in self.membership.expire():
+            self.failed_at[info.vm_id] = self.clock.now
+
+    @rule()
+    def distrust(self):
+        self.membership.distrust()
 
     @rule(ready=st.booleans())
     def change_own_state(self, ready):
@@ -179,6 +185,17 @@
             assert not info.leaving
         assert self.membership.count() >= 1
 
+    @invariant()
+    def counts_are_those_of_the_nodes_that_have_not_failed_long_ago(self):
+        expected = {self.membership.own.vm_id} | {
+            vm_id
+            for vm_id, status in self.membership.list_statuses().items()
+            if not self.membership.get(vm_id).leaving
+            and (status != "failed" or self.clock.now - self.failed_at[vm_id] < 30.0)
+        }
+        assert self.membership.count() == len(expected)
+        assert self.membership.count_by_domain() == {"d1": len(expected)}
+
     @invariant()
     def own_node_is_never_a_peer(self):
         assert all(info.vm_id != "own" for info in self.membership.list_peers())
@@ -187,8 +204,9 @@
     def digests_equal_those_of_the_listed_nodes(self):
         copy = NodeMembership(own=self.membership.own, clock=self.clock)
         statuses = self.membership.list_statuses()
+        distrusted = {info.vm_id for info in self.membership.list_distrusted()}
         for info in self.membership.list_peers():
-            if statuses[info.vm_id] == "alive":
+            if statuses[info.vm_id] == "alive" and info.vm_id not in distrusted:
                 copy.apply(msgspec.structs.replace(info))
         assert copy.compute_digests() == self.membership.compute_digests()
 
