Run the tests in eight groups beside each other

The groups now follow the measured durations of the files: the simulations of up to 300 nodes in tests/test_evacuation.py (248 s) and in tests/test_locator_freshness.py with two smaller files (278 s) are groups of their own, and the tests of processes, which mostly wait, are apart from those that compute. Each group prints its five slowest tests.

--- a/Makefile
+++ b/Makefile
@@ -6,14 +6,20 @@
 SEED ?= 1
 MINUTES ?= 2
 
-SIMULATIONS := tests/test_crash_quarantine.py tests/test_fleet.py tests/test_lost_paths.py \
-	tests/test_request_limits.py
-SHARED_LIMIT_SIMULATIONS := tests/test_cold_servers.py tests/test_probes_by_demand.py \
-	tests/test_quotas.py
-SPREADING_SIMULATIONS := tests/test_evacuation.py tests/test_locator_freshness.py \
-	tests/test_regions.py tests/test_table_spreading.py
-
-.PHONY: demo demo-standalone test test-simulations test-shared-limits test-spreading test-others lint format soak bench slopes lock clean
+# Files of the groups of tests that run beside each other, each in one process. The groups take
+# about equally long; the group others has all other files. The groups nodes and programs mostly
+# wait, so eight groups need about six cores.
+TEST_GROUPS := evacuation spreading limits cold paths nodes programs
+evacuation := tests/test_evacuation.py
+spreading := tests/test_locator_freshness.py tests/test_regions.py tests/test_table_spreading.py
+limits := tests/test_request_limits.py tests/test_quotas.py
+cold := tests/test_cold_servers.py tests/test_crash_quarantine.py
+paths := tests/test_lost_paths.py tests/test_probes_by_demand.py tests/test_fleet.py
+nodes := tests/test_endless_data.py tests/test_explanation.py tests/test_key_revocation.py \
+	tests/test_node.py tests/test_node_program.py tests/test_relays.py tests/test_store_restore.py
+programs := tests/test_planned_stops.py tests/test_programs.py
+
+.PHONY: demo demo-standalone test $(TEST_GROUPS:%=test-%) test-others lint format soak bench slopes lock clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -27,24 +33,15 @@
 demo-standalone: $(STAMP)
 	$(BIN)/python -m bench.demo
 
-# Each group of simulations uses one core and hardly any real time, so they run beside the other
-# tests.
 test: $(STAMP)
-	$(MAKE) --no-print-directory --jobs 4 --output-sync=target test-simulations \
-		test-shared-limits test-spreading test-others
-
-test-simulations:
-	$(BIN)/python -m pytest $(SIMULATIONS)
-
-test-shared-limits:
-	$(BIN)/python -m pytest $(SHARED_LIMIT_SIMULATIONS)
+	$(MAKE) --no-print-directory --jobs 8 --output-sync=target $(TEST_GROUPS:%=test-%) test-others
 
-test-spreading:
-	$(BIN)/python -m pytest $(SPREADING_SIMULATIONS)
+$(TEST_GROUPS:%=test-%): test-%:
+	$(BIN)/python -m pytest --durations=5 $($*)
 
 test-others:
-	$(BIN)/python -m pytest $(addprefix --ignore=,$(SIMULATIONS) \
-		$(SHARED_LIMIT_SIMULATIONS) $(SPREADING_SIMULATIONS))
+	$(BIN)/python -m pytest --durations=5 \
+		$(foreach group,$(TEST_GROUPS),$(addprefix --ignore=,$($(group))))
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
