Ping many nodes at once only if a third of the pings are missed

After any missed answer a node pinged four times as many nodes in the next period, up to 256. With lost datagrams some answer is always missing, so each node of a large fleet sent hundreds of pings per period. Few missed answers now lead to 8 pings at most, as before; at least a third of them, to 256.

--- a/src/jasmineseam/fleet/failure_detection.py
+++ b/src/jasmineseam/fleet/failure_detection.py
@@ -27,11 +27,16 @@
 INDIRECT_PING_COUNT = 3
 # The timeouts grow while answers arrive late, which shows that this node is slow.
 MAX_TIMEOUT_FACTOR = 4
-# After a missed answer, more nodes are pinged per period, since many may have failed at once. One
-# node that is left of 300 has pinged all others after eight periods; with at most 8 pings a period
-# it would take 19 s, while locator answers must name no node that failed over 6 s ago.
-PARALLEL_PINGS_GROWTH = 4
-MAX_PARALLEL_PINGS = 256
+# After a missed answer, more nodes are pinged per period, since many may have failed at once.
+PARALLEL_PINGS_GROWTH = 2
+MAX_PARALLEL_PINGS = 8
+# Growth and maximum while at least a third of the pings are not answered. One node that is left of
+# 300 has pinged all others after eight periods; with at most 8 pings a period it would take 19 s,
+# while locator answers must name no node that failed over 6 s ago. The values don't apply to fewer
+# missed answers, which may be lost datagrams: each node of a large fleet would then send thousands
+# per second.
+MANY_FAILED_PINGS_GROWTH = 4
+MANY_FAILED_MAX_PINGS = 256
 # number of late answers by which a slow node detects that it is slow
 MAX_LATE_PINGS = 8
 # A timeout that fires later than this shows that this node itself was delayed.
@@ -41,6 +46,27 @@
 _logger = logbook.Logger("fleet")
 
 
+def compute_parallel_pings(parallel_pings: int, *, answered: int, missed: int) -> int:
+    """Return how many nodes to ping in the next period.
+
+    :param parallel_pings: how many nodes were to be pinged in the last period.
+    :param answered: number of its pings that were answered.
+    :param missed: number of its pings that were not.
+
+    >>> compute_parallel_pings(4, answered=4, missed=0)
+    1
+    >>> compute_parallel_pings(4, answered=3, missed=1)
+    8
+    >>> compute_parallel_pings(64, answered=8, missed=56)
+    256
+    """
+    if not missed:
+        return 1
+    if 2 * missed >= answered:
+        return min(MANY_FAILED_MAX_PINGS, MANY_FAILED_PINGS_GROWTH * parallel_pings)
+    return min(MAX_PARALLEL_PINGS, PARALLEL_PINGS_GROWTH * parallel_pings)
+
+
 class FailureDetector:
     """Pings the other nodes on behalf of one node.
 
@@ -94,19 +120,16 @@
     async def ping_next_nodes(self) -> None:
         """Ping the next nodes in turn, and suspect those that don't answer."""
         # After a pause, nodes that have not been heard of since are pinged first.
-        distrusted = self._membership.list_distrusted()[:MAX_PARALLEL_PINGS]
+        distrusted = self._membership.list_distrusted()[:MANY_FAILED_MAX_PINGS]
         targets = {info.vm_id: info for info in distrusted}
         for _ in range(self._parallel_pings):
             target = self._choose_ping_target()
             if target is not None:
                 targets[target.vm_id] = target
         answered = await asyncio.gather(*(self._ping(target) for target in targets.values()))
-        if all(answered):
-            self._parallel_pings = 1
-        else:
-            self._parallel_pings = min(
-                MAX_PARALLEL_PINGS, PARALLEL_PINGS_GROWTH * self._parallel_pings
-            )
+        self._parallel_pings = compute_parallel_pings(
+            self._parallel_pings, answered=sum(answered), missed=len(answered) - sum(answered)
+        )
 
     async def _ping(self, target: NodeInfo) -> bool:
         """Ping a node, if necessary through others; return whether it is known to be alive."""
