--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -561,7 +561,7 @@
             metrics_address=f"{self.settings.vm.address}:{port}" if port else "",
             handle_request=self.gateway.handle_request,
             read_ahead_options={
-                "may_read_ahead": self.gateway.may_read_ahead,
+                "get_read_ahead_bytes": self.gateway.get_read_ahead_bytes,
                 "read_ahead_counts": self.gateway.read_ahead_counts,
             },
             endpoints=endpoints,
--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -54,6 +54,11 @@
 INTERNAL_ERROR_RETRY_AFTER_S = 0.1
 # Time from arrival to the deadline of a request without a deadline header.
 DEFAULT_REQUEST_TIMEOUT_S = 30.0
+# The refusals of bodies without memory are logged at most this often.
+BODY_LOG_INTERVAL_S = 5.0
+# Retry-After time of a request whose deadline passed while it waited for its turn on a connection;
+# its caller will hardly wait for that.
+LATE_RETRY_AFTER_S = 0.05
 _logger = logbook.Logger("gateway")
 
 
@@ -126,6 +131,7 @@
         # While set, each caller connection is closed with the last response to its requests.
         self.draining = False
         self.held_bodies = HeldBodies()
+        self._bodies_logged_at = float("-inf")
         # Requests that were started before the response to an earlier request of their connection.
         self.read_ahead_counts: collections.Counter[str] = collections.Counter()
         self.in_flight = 0
@@ -230,6 +236,7 @@
         self.in_flight += 1
         connection: CallerConnection = request.protocol
         proxied = ProxiedRequest()
+        proxied.arrived_at = connection.get_arrived_at(request)
         body = self.held_bodies.open()
         outcome = "cancelled"
         status = 0
@@ -312,17 +319,22 @@
         """Return the number of requests queued for a server."""
         return sum(dispatcher.count_queued() for dispatcher in self.dispatchers.list_all())
 
-    def may_read_ahead(self, message: RawRequestMessage) -> bool:
-        """Return whether a request may run beside earlier ones of its connection, by its head.
+    def get_read_ahead_bytes(self, message: RawRequestMessage) -> int | None:
+        """Return the usual size of the response to a request, by its head.
 
-        A request that no route matches is refused, so that it matters for no other one.
+        It is ``None`` if the request must not run beside earlier ones of its connection. A request
+        that no route matches is refused, so that it matters for no other one.
         """
         index = self._route_index
         if index is None or self.draining:
-            return False
+            return None
         host = message.headers.get("Host", "").partition(":")[0]
         route = index.find_route(host, message.path.partition("?")[0])
-        return route is None or route.idempotent
+        if route is None:
+            return 0
+        if not route.idempotent:
+            return None
+        return self.dispatchers.transfer_prices.get_response_bytes(route.name)
 
     def _check_before_body(
         self, request: web.BaseRequest, proxied: ProxiedRequest, service: str
@@ -339,11 +351,28 @@
     ) -> None:
         if not request.body_exists:
             return
-        proxied.body = await read_body(
-            request,
-            self.caller_limits.body_bytes,
-            proxied.deadline_at - time.monotonic(),
-            body.grow,
+        refused_count = self.held_bodies.refused_count
+        try:
+            proxied.body = await read_body(
+                request,
+                self.caller_limits.body_bytes,
+                proxied.deadline_at - time.monotonic(),
+                body.grow,
+            )
+        except NotRunError:
+            if self.held_bodies.refused_count != refused_count:
+                self._log_refused_bodies()
+            raise
+
+    def _log_refused_bodies(self) -> None:
+        now = time.monotonic()
+        if now - self._bodies_logged_at < BODY_LOG_INTERVAL_S:
+            return
+        self._bodies_logged_at = now
+        _logger.warning(
+            "No memory for a request body: {} bytes are held; {} refused so far.",
+            self.held_bodies.size,
+            self.held_bodies.refused_count,
         )
 
     def _read_head(self, request: web.BaseRequest, proxied: ProxiedRequest) -> None:
@@ -385,6 +414,8 @@
             - self._caller_round_trip_s
             - proxied.elapsed_before_arrival_s
         )
+        if time.monotonic() > proxied.deadline_at:
+            raise NotRunError("timeout-in-queue", 503, LATE_RETRY_AFTER_S)
 
     def _build_internal_error_response(self, proxied: ProxiedRequest) -> web.Response:
         if proxied.sent:
--- a/src/jasmineseam/node/listeners.py
+++ b/src/jasmineseam/node/listeners.py
@@ -31,7 +31,7 @@
     :param addresses: the addresses to listen on.
     :param metrics_address: ``ip:port`` of the metrics endpoint, empty for none.
     :param handle_request: handles a request of a caller to a service.
-    :param read_ahead_options: ``may_read_ahead`` and ``read_ahead_counts`` of
+    :param read_ahead_options: ``get_read_ahead_bytes`` and ``read_ahead_counts`` of
         :class:`CallerServer`.
     :param endpoints: handles all other requests.
     """
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -64,6 +64,12 @@
     def read_in_flight():
         return [(gateway.in_flight, {})]
 
+    def read_read_ahead():
+        return [(count, {"result": name}) for name, count in gateway.read_ahead_counts.items()]
+
+    def read_body_bytes():
+        return [(gateway.held_bodies.size, {})]
+
     def read_queued():
         return [(gateway.count_queued(), {})]
 
@@ -152,6 +158,8 @@
         provider, "connections.failed", "1", "Not opened to servers.", read_failed_connections
     )
     add_gauge(provider, "requests.in_flight", "1", "Requests held.", read_in_flight)
+    add_counter(provider, "requests.read_ahead", "1", "Run before their turn.", read_read_ahead)
+    add_gauge(provider, "requests.body_bytes", "By", "Request bodies held.", read_body_bytes)
     add_gauge(provider, "requests.queued", "1", "Requests that wait.", read_queued)
     add_gauge(
         provider, "servers.request_limit", "1/s", "Named by servers in need.", read_request_limits
--- a/src/jasmineseam/routing/domain_choice.py
+++ b/src/jasmineseam/routing/domain_choice.py
@@ -86,6 +86,10 @@
             return
         self._response_bytes[route_name] = known + RESPONSE_SIZE_EWMA_ALPHA * (body_bytes - known)
 
+    def get_response_bytes(self, route_name: str) -> int:
+        """Return the average size of the bodies of a route's responses, in bytes."""
+        return int(self._response_bytes.get(route_name, 0.0))
+
     def get_price_s(self, route_name: str, body_bytes: int) -> float:
         """Return the price of one request, in seconds.
 
--- a/src/jasmineseam/transport/caller_connections.py
+++ b/src/jasmineseam/transport/caller_connections.py
@@ -34,15 +34,20 @@
 # Requests of a connection that run besides the first one whose response is not complete. More of
 # them would let one connection take all slots of a small service.
 MAX_READ_AHEAD_REQUESTS = 16
-# Bound on the heads and bodies of these requests, and on responses that wait for their turn. It is
-# also the most that is received at once, so that one connection does not hold much more.
+# Bound on the heads and bodies of these requests. It is also the most that is received at once, so
+# that one connection does not hold much more.
 MAX_READ_AHEAD_BYTES = 262_144
+# Bound on the responses that wait for their turn, by the usual size while they are not known. It
+# leaves large downloads to run one by one.
+MAX_EARLY_RESPONSE_BYTES = 4 * 1024 * 1024
 # The rest of a body that is not read any more is received for this time, and dropped. A caller
 # that is still sending gets the response; if the connection were closed at once, the reset
 # could overtake the response.
 LINGERING_TIME_S = 3.0
 # While the rest of an unread body is at most this, the connection stays open for further requests.
 MAX_DROPPED_BODY_BYTES = 65_536
+# Nothing more is received than this; it is the largest body by default.
+MAX_LINGERING_BYTES = 64 * 1024 * 1024
 # state of an open TCP connection, in the first byte of TCP_INFO (Linux)
 _TCP_ESTABLISHED = 1
 HEAD_TOO_LARGE_RESPONSE = (
@@ -103,20 +108,22 @@
     """A request that was started before the response to an earlier one was complete.
 
     :param size: size of its head and body, in bytes.
+    :param response_size: usual size of its response, in bytes.
     """
 
-    __slots__ = ("size", "task")
+    __slots__ = ("_response_size", "size", "task")
 
-    def __init__(self, task: asyncio.Task, size: int) -> None:
+    def __init__(self, task: asyncio.Task, size: int, response_size: int) -> None:
         self.task = task
         self.size = size
+        self._response_size = response_size
 
-    def count_bytes(self) -> int:
-        """Return the size of the request, and of its response if that is complete."""
+    def count_response_bytes(self) -> int:
+        """Return the size of the response, or the usual one until it is complete."""
         if not self.task.done() or self.task.cancelled() or self.task.exception() is not None:
-            return self.size
+            return self._response_size
         body = getattr(self.task.result(), "body", None)
-        return self.size + (len(body) if isinstance(body, bytes) else 0)
+        return len(body) if isinstance(body, bytes) else 0
 
 
 class CallerConnection(RedactingConnection):
@@ -134,8 +141,10 @@
     """
 
     __slots__ = (
+        "_arrived_at",
         "_closes_after_pending",
         "_current_allows_more",
+        "_dropped_bytes",
         "_input_ended",
         "_last_message",
         "_last_payload",
@@ -154,6 +163,9 @@
         self.head_started_at: float | None = None
         self.rejected = False
         self.early: dict[int, _EarlyRequest] = {}
+        # arrival of the requests whose turn has not come, by the identity of their message
+        self._arrived_at: dict[int, float] = {}
+        self._dropped_bytes = 0
         self._running_count = 0
         self._served_request = False
         self._unparsed_bytes = 0
@@ -189,6 +201,7 @@
     def data_received(self, data: bytes) -> None:
         """Pass the data to the parser, bound request heads, and start requests early."""
         if self._input_ended or self.rejected:
+            self._drop(data)
             return
         unread_body = self._last_payload is not None and not self._last_payload.is_eof()
         body_left = self._count_body_left() if unread_body else 0
@@ -201,6 +214,9 @@
                 self._last_message = self._last_payload = None
                 self._input_ended = True
             parsed = True
+            now = time.monotonic()
+            for message, _ in self._messages:
+                self._arrived_at.setdefault(id(message), now)
         else:
             parsed = False
         if data:
@@ -211,6 +227,11 @@
                 self._pause_reading_for_buffer()
                 self.head_started_at = None
 
+    def _drop(self, data: bytes) -> None:
+        self._dropped_bytes += len(data)
+        if self._dropped_bytes > MAX_LINGERING_BYTES and self.transport is not None:
+            self.transport.pause_reading()
+
     def _count_body_left(self) -> int | None:
         """Return the missing part of the last body, in bytes, ``None`` if it is not known."""
         length = _get_content_length(self._last_message)
@@ -264,6 +285,11 @@
         self._served_request = True
         self.idle_since = time.monotonic()
 
+    def get_arrived_at(self, request: web.BaseRequest) -> float:
+        """Return the time at which the head of a request was complete."""
+        arrived_at = self._arrived_at.get(id(request._message))
+        return time.monotonic() if arrived_at is None else arrived_at
+
     def close_after_pending(self) -> None:
         """Close the connection with the last response to a request that has been started."""
         self._closes_after_pending = True
@@ -278,7 +304,8 @@
         message = request._message
         server: CallerServer = self._manager
         early = self.early.pop(id(message), None)
-        self._current_allows_more = server.may_read_ahead(message) and _is_plain(message)
+        usual_response_bytes = server.get_read_ahead_bytes(message)
+        self._current_allows_more = usual_response_bytes is not None and _is_plain(message)
         self.resume_reading_ahead()
         self.start_early()
         try:
@@ -286,6 +313,7 @@
         finally:
             # Until the next request's turn begins, it is not known what may follow it.
             self._current_allows_more = False
+            self._arrived_at.pop(id(message), None)
             self.idle_since = time.monotonic()
         self._close_if_last(request, response)
         return response
@@ -349,7 +377,8 @@
         if not self._messages or self.transport is None:
             return
         server: CallerServer = self._manager
-        size = sum(early.count_bytes() for early in self.early.values())
+        size = sum(early.size for early in self.early.values())
+        response_size = sum(early.count_response_bytes() for early in self.early.values())
         for message, payload in self._messages:
             if id(message) in self.early:
                 if message.should_close:
@@ -357,22 +386,28 @@
                 continue
             if not isinstance(message, RawRequestMessage) or not _is_plain(message):
                 return
-            if not server.may_read_ahead(message):
+            usual_response_bytes = server.get_read_ahead_bytes(message)
+            if usual_response_bytes is None:
                 return
             size += _count_bytes(message)
+            response_size += usual_response_bytes
             if len(self.early) >= MAX_READ_AHEAD_REQUESTS or size > MAX_READ_AHEAD_BYTES:
                 return
-            self._start(message, payload)
+            if response_size > MAX_EARLY_RESPONSE_BYTES:
+                return
+            self._start(message, payload, usual_response_bytes)
             if message.should_close:
                 return
 
-    def _start(self, message: RawRequestMessage, payload: StreamReader) -> None:
+    def _start(
+        self, message: RawRequestMessage, payload: StreamReader, usual_response_bytes: int
+    ) -> None:
         server: CallerServer = self._manager
         request = self._request_factory(
             message, payload, self, StreamWriter(self, self._loop), self._task_handler
         )
         task = self._loop.create_task(server.handler(request))
-        self.early[id(message)] = _EarlyRequest(task, _count_bytes(message))
+        self.early[id(message)] = _EarlyRequest(task, _count_bytes(message), usual_response_bytes)
         server.read_ahead_counts["started"] += 1
 
     def cancel_early(self) -> None:
@@ -448,6 +483,12 @@
         self.head_started_at = None
         if self.has_request:
             self._input_ended = True
+            _logger.info(
+                "Slow or endless request head from {} behind {} pending requests; closing the "
+                "connection after their responses.",
+                self.peername,
+                len(self._messages) + 1,
+            )
             return
         self.rejected = True
         if self.transport is not None and response:
@@ -459,8 +500,9 @@
     """aiohttp server whose connections are :class:`CallerConnection` objects.
 
     :param handler: coroutine that handles a request.
-    :param may_read_ahead: returns whether a request may be started before the response to an
-        earlier one is complete, by its parsed head. None is by default.
+    :param get_read_ahead_bytes: returns the usual size of the response to a request, by its parsed
+        head, or ``None`` if it must not be started before the response to an earlier one is
+        complete. None may by default.
     :param read_ahead_counts: counts the requests that were ``started`` early, and of these the
         ones that were ``cancelled``.
     :param options: options of aiohttp's protocol.
@@ -470,13 +512,13 @@
         self,
         handler: t.Callable,
         *,
-        may_read_ahead: t.Callable[[RawRequestMessage], bool] = lambda message: False,
+        get_read_ahead_bytes: t.Callable[[RawRequestMessage], int | None] = lambda message: None,
         read_ahead_counts: collections.Counter[str] | None = None,
         **options: t.Any,
     ) -> None:
         super().__init__(self._handle, handler_cancellation=True)
         self.handler = handler
-        self.may_read_ahead = may_read_ahead
+        self.get_read_ahead_bytes = get_read_ahead_bytes
         self.read_ahead_counts = (
             collections.Counter() if read_ahead_counts is None else (read_ahead_counts)
         )
--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -503,6 +503,9 @@
     def close_after_pending(self):
         pass
 
+    def get_arrived_at(self, request):
+        return time.monotonic()
+
 
 class _Request:
     """What the gateway reads of a caller's request."""
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -55,8 +55,8 @@
             connection.end_request()
 
 
-def may_read_ahead(message):
-    return "/once/" not in message.path
+def get_read_ahead_bytes(message):
+    return None if "/once/" in message.path else 1000
 
 
 def build_requests(*names, kind="safe", seconds=0.1, headers=()):
@@ -88,7 +88,10 @@
     async def run_with_server():
         handler = Handler()
         server = CallerServer(
-            handler.handle, may_read_ahead=may_read_ahead, access_log=None, max_field_size=65_536
+            handler.handle,
+            get_read_ahead_bytes=get_read_ahead_bytes,
+            access_log=None,
+            max_field_size=65_536,
         )
         runner = web.ServerRunner(server, access_log=None, shutdown_timeout=0.05)
         await runner.setup()
@@ -126,6 +129,7 @@
         ({"MAX_READ_AHEAD_REQUESTS": 2}, "x", 3),
         ({"MAX_READ_AHEAD_BYTES": 2500}, "x" * 1000, 3),
         ({"MAX_READ_AHEAD_BYTES": 500}, "x" * 1000, 1),
+        ({"MAX_EARLY_RESPONSE_BYTES": 2500}, "x", 3),
     ],
 )
 def test_read_ahead_is_bounded_for_each_connection(monkeypatch, limits, header, most):
@@ -423,3 +427,20 @@
         assert deployment.count_runs("/order/1") == deployment.count_runs("/safe/1") == 0
 
     run_scenario(scenario)
+
+
+def test_deadline_counts_from_the_arrival_of_a_queued_request():
+    """Guards against running a request whose caller has given up while it waited for its turn."""
+
+    async def scenario(deployment):
+        node, reader, writer = await start_node(deployment)
+        deployment.instances["i-2"].behaviour.work_s = 0.5
+        requests = build_node_requests("/slow/1", "/order/1")
+        writer.write(requests.replace(b"Ms: 1400", b"Ms: 300", 2).replace(b"300", b"1400", 1))
+        assert await read_ids(reader, 1.0) == ["/slow/1"]
+        assert deployment.count_runs("/order/1") == 0
+        (line,) = [line for line in node.lines if line.get("id") == "/order/1"]
+        assert line["status"] in (408, 503, 504)
+        writer.close()
+
+    run_scenario(scenario)
