Keep Gateway._read_request asynchronous

Cause: tests/test_quotas.py replaces it by a coroutine function; the renamed synchronous function broke test_real_nodes_share_a_quota_and_return_unused_tokens.

Change: the name and the kind of the function are as before.

Measured: that test passes.

--- a/src/jasmineseam/node/gateway.py
+++ b/src/jasmineseam/node/gateway.py
@@ -244,7 +244,7 @@
             try:
                 if not connection.begin_request():
                     raise NotRunError("head-timeout", 408)
-                self._read_head(request, proxied)
+                await self._read_request(request, proxied)
                 service = self._service_balancer.choose_service(proxied.route)
                 if request.body_exists:
                     self._check_before_body(request, proxied, service)
@@ -375,7 +375,7 @@
             self.held_bodies.refused_count,
         )
 
-    def _read_head(self, request: web.BaseRequest, proxied: ProxiedRequest) -> None:
+    async def _read_request(self, request: web.BaseRequest, proxied: ProxiedRequest) -> None:
         try:
             proxied.head = self._header_codec.decode_request(request.headers)
         except ValueError as error:
