--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -396,10 +396,10 @@
 
 def set_account(node, account):
     """Give all requests of a node an account."""
-    read_head = node.gateway._read_head
+    read_request = node.gateway._read_request
 
-    def read_head_of_account(request, proxied):
-        read_head(request, proxied)
+    async def read_request_of_account(request, proxied):
+        await read_request(request, proxied)
         proxied.account = account
 
-    node.gateway._read_head = read_head_of_account
+    node.gateway._read_request = read_request_of_account
