Refuse an upload for overload only if no server is free

Cause: the check before the body looked at the expected wait only. A request that precedes those in the queue can be placed at once, so that an urgent upload was refused although it could run.

Change: the check asks whether a slot is free first, and leaves requests that may be late to the dispatcher, which may put them into a server's own queue.

Measured: the new test_upload_is_not_refused_while_a_server_is_free and tests/test_uploads.py and tests/test_pipelining.py pass.

--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -55,6 +55,9 @@
 # MIN_LATENCY_TARGET_S.
 MIN_LATENCY_TARGET_SERVICE_TIME_FACTOR = 1.5
 MIN_LATENCY_TARGET_S = 0.15
+# With less than this multiple of its service time before its target, a request may be late. It
+# exceeds the margin by which the dispatcher decides on that.
+LATE_SERVICE_TIME_FACTOR = 1.5
 UNAUTHORIZED_STATUS = 401
 # Retry-After time of a request whose service has servers in evacuated failure domains only. An
 # evacuation lasts longer, but callers with less time left than this could not use its end.
@@ -138,8 +141,18 @@
             raise NotRunError(REASON_NO_SERVER, 503, dispatcher.estimate_retry_after_s())
         if not dispatcher.count_queued():
             return
+        now = time.monotonic()
+        proxied.service_time_s = dispatcher.get_service_time_s(
+            proxied.route.name, proxied.route.target_s
+        )
+        request = self._build_placement_request(proxied)
+        # A request without time for its target may also use the queue of a server, so that it is
+        # not known whether it is refused. One that may use any free slot is not refused.
+        is_late = now + LATE_SERVICE_TIME_FACTOR * proxied.service_time_s > request.target_at
+        if is_late or dispatcher.has_suitable_server(request._replace(target_at=float("-inf"))):
+            return
         # The queue of client accounts has an order in which this request may come first.
-        ready_at = time.monotonic() + dispatcher.estimate_wait_s() + dispatcher.service_time_s
+        ready_at = now + dispatcher.estimate_wait_s() + dispatcher.service_time_s
         full = dispatcher.count_queued() >= MAX_QUEUED_REQUESTS
         if full or (proxied.account is None and ready_at > proxied.deadline_at):
             reason = "queue-full" if full else "queue-too-long"
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -86,6 +86,7 @@
 def refuse_overload(deployment, node):
     dispatcher = node.gateway.dispatchers.get("fit")
     dispatcher.count_queued = lambda: 2000
+    dispatcher.has_suitable_server = lambda request: False
     return "/upload/1", [f"Authorization: Bearer {KEY}"]
 
 
@@ -124,6 +125,23 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("queued", [1, 2000])
+def test_upload_is_not_refused_while_a_server_is_free(queued):
+    """Guards against refusing an urgent request because of others, which it precedes."""
+
+    async def scenario(deployment):
+        node = await start_node(deployment, "i-1")
+        dispatcher = node.gateway.dispatchers.get("fit")
+        dispatcher.count_queued = lambda: queued
+        dispatcher.estimate_wait_s = lambda: 60.0
+        status, _, _ = await deployment.send_request(
+            node, "/upload/1", method="POST", body=b"x" * MB
+        )
+        assert status == 200
+
+    run_scenario(scenario)
+
+
 def test_refused_caller_that_is_still_sending_gets_the_response(monkeypatch):
     """Guards against a reset that overtakes the response, and against a body without end."""
     monkeypatch.setattr(caller_connections, "LINGERING_TIME_S", 0.5)
