--- a/src/jasmineseam/transport/caller_connections.py
+++ b/src/jasmineseam/transport/caller_connections.py
@@ -469,9 +469,13 @@
         tcp_socket = self.transport.get_extra_info("socket")
         if tcp_socket is None or not hasattr(socket, "TCP_INFO"):
             return
-        (state,) = struct.unpack(
-            "B", tcp_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-        )
+        try:
+            (state,) = struct.unpack(
+                "B", tcp_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+            )
+        except OSError as error:
+            _logger.debug("The state of a caller's connection is not known: {}", error)
+            return
         if state != _TCP_ESTABLISHED:
             self.transport.abort()
 
