--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 SPREADING_SIMULATIONS := tests/test_evacuation.py tests/test_locator_freshness.py \
 	tests/test_regions.py tests/test_table_spreading.py
 
-.PHONY: demo demo-standalone test test-simulations test-shared-limits test-spreading test-others lint format soak bench slopes lock clean
+.PHONY: demo demo-standalone test test-simulations test-shared-limits test-spreading test-others lint format soak node-soak bench slopes lock clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -57,6 +57,9 @@
 soak: $(STAMP)
 	$(BIN)/python -m bench.soak --seed $(SEED) --minutes $(MINUTES)
 
+node-soak: $(STAMP)
+	$(BIN)/python -m bench.node_soak --seed $(SEED) --minutes $(MINUTES)
+
 bench: $(STAMP)
 	$(BIN)/python -m bench.overhead
 	$(BIN)/python -m bench.routing
--- a/bench/mixed.py
+++ b/bench/mixed.py
@@ -63,36 +63,13 @@
 )
 
 
-class BuildNode(node_demo.NodeProcess):
-    """A node of one build.
-
-    :param checkout: root directory of the build's checkout.
-    """
-
-    def __init__(self, *, checkout: pathlib.Path, **where: t.Any) -> None:
-        super().__init__(**where)
-        self.checkout = checkout
-
-    async def start(self) -> None:
-        """Start the process from the checkout of its build, and wait until the node is ready."""
-        self.process = None
-        root_directory = node_demo.ROOT_DIRECTORY
-        node_demo.ROOT_DIRECTORY = self.checkout
-        try:
-            starting = asyncio.ensure_future(super().start())
-            # the directory is read before the process exists
-            while self.process is None and not starting.done():
-                await asyncio.sleep(0.001)
-        finally:
-            node_demo.ROOT_DIRECTORY = root_directory
-        await starting
-
-
 async def run_nodes(directory: pathlib.Path, checkouts: list[pathlib.Path]) -> list[str]:
     """Run a node of each checkout with one store, under load; returns the failures."""
     demo = node_demo.Demo(directory=directory)
     nodes = [
-        BuildNode(checkout=checkout, name=node.name, host=node.host, directory=directory)
+        node_demo.NodeProcess(
+            checkout=checkout, name=node.name, host=node.host, directory=directory
+        )
         for checkout, node in zip(checkouts, demo.nodes, strict=True)
     ]
     demo.nodes = []
@@ -103,7 +80,6 @@
             node.write_settings(demo.store_address, seeds)
             seeds.append(f"{node.host}:{node.ports['control']}")
             demo.nodes.append(node)
-            # one after the other, since a start sets the directory for all nodes
             await node.start()
         ends_at = time.monotonic() + node_demo.LOAD_DURATION_S
         callers = [demo.run_caller(ends_at) for _ in range(node_demo.CALLER_COUNT)]
--- a/bench/node_demo.py
+++ b/bench/node_demo.py
@@ -73,27 +73,49 @@
 
 
 class NodeProcess:
-    """Addresses, process and log file of one node."""
+    """Addresses, process and log file of one node.
 
-    def __init__(self, *, name: str, host: str, directory: pathlib.Path) -> None:
+    :param zone: the node's failure domain.
+    :param checkout: root directory of the checkout whose build the node runs.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        host: str,
+        directory: pathlib.Path,
+        zone: str = "d1",
+        checkout: pathlib.Path = ROOT_DIRECTORY,
+    ) -> None:
         self.name = name
         self.host = host
+        self.zone = zone
+        self.checkout = checkout
         self.settings_path = directory / f"{name}.toml"
         self.log_path = directory / f"{name}.log"
         self.ports: dict[str, int] = {}
         self.process: asyncio.subprocess.Process | None = None
 
-    def write_settings(self, store: str, seeds: list[str]) -> None:
+    @property
+    def entry_address(self) -> str:
+        """The address for callers."""
+        return f"{self.host}:{self.ports['entry']}"
+
+    def write_settings(self, store: str, seeds: list[str], bounds: t.Iterable[str] = ()) -> None:
         """Write the settings file of the node.
 
         :param store: address of the store.
         :param seeds: control addresses of the nodes that it contacts first.
+        :param bounds: further lines of the table of bounds.
         """
         self.ports = write_node_settings(
             self.settings_path,
             host=self.host,
             store_address=store,
             name=self.name,
+            zone=self.zone,
+            bounds=bounds,
             grace=f"{STOP_GRACE_PERIOD_S:g}s",
             seeds=seeds,
         )
@@ -106,7 +128,7 @@
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(ROOT_DIRECTORY / "deploy" / "node.py"),
+                str(self.checkout / "deploy" / "node.py"),
                 stdout=log,
                 env={**os.environ, "JASMINESEAM_NODE_FILE": str(self.settings_path)},
             )
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import time
+import typing as t
 
 import msgspec
 
@@ -113,6 +114,9 @@
         self.rejection_times: list[float] = []
         self.endless_bytes = 0
         self.connection_count = 0
+        # called with the headers of each request that is meant for this instance, and of each run
+        self.on_arrival: t.Callable[[dict[str, str]], None] = lambda headers: None
+        self.on_run: t.Callable[[dict[str, str]], None] = lambda headers: None
         self._free_slots = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -156,6 +160,10 @@
             "born": born,
         }
 
+    def is_cold(self) -> bool:
+        """Return whether the instance is warming up."""
+        return self._get_remaining_warmup_s() > 0.0
+
     def _get_remaining_warmup_s(self) -> float:
         return max(0.0, self.warmup_ends_at - time.monotonic())
 
@@ -189,6 +197,9 @@
             self.probe_times.append(time.monotonic())
             status = 200 if self.behaviour.healthy else 503
             id_header = [f"Jasmineseam-Instance-Id: {self.instance_id}"]
+            if self.is_cold():
+                warmup_ms = 1000 * self._get_remaining_warmup_s()
+                id_header.append(f"Jasmineseam-Warmup-Ms: {warmup_ms:.0f}")
             writer.write(self._build_response(status, id_header, b"ok", signed=False))
             return True
         headers[":path"] = path
@@ -200,6 +211,7 @@
             id_header = [f"Jasmineseam-Instance-Id: {self.instance_id}"]
             writer.write(self._build_response(421, id_header, b"", signed=False))
             return True
+        self.on_arrival(headers)
         if self.behaviour.retry_after_s:
             headers_sent = [
                 "Jasmineseam-Not-Executed: 1",
@@ -221,11 +233,12 @@
             self.run_counts[request_id] += 1
             await self.stop()
             return False
-        return await self._run_request(reader, writer, request_id)
+        return await self._run_request(reader, writer, headers)
 
     async def _run_request(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: str
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, headers: dict[str, str]
     ) -> bool:
+        request_id = headers.get("jasmineseam-request-id", "")
         self.waiting += 1
         try:
             await self._free_slots.acquire()
@@ -234,6 +247,7 @@
         self.running += 1
         try:
             self.run_counts[request_id] += 1
+            self.on_run(headers)
             work_task = asyncio.ensure_future(self._simulate_processing())
             # completes when the client closes the connection; the request is then cancelled
             read_task = asyncio.ensure_future(reader.read(1))
@@ -251,7 +265,7 @@
         return await self._send_response(writer, request_id)
 
     async def _simulate_processing(self) -> None:
-        factor = WARMUP_SLOWDOWN_FACTOR if self._get_remaining_warmup_s() > 0 else 1.0
+        factor = WARMUP_SLOWDOWN_FACTOR if self.is_cold() else 1.0
         await asyncio.sleep(factor * self.behaviour.work_s * self.behaviour.slowness_pct / 100)
 
     async def _send_response(self, writer: asyncio.StreamWriter, request_id: str) -> bool:
--- a/standins/settings.py
+++ b/standins/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+import os
 import pathlib
 import socket
 import typing as t
@@ -29,7 +31,18 @@
 retry-budget-slack = 60
 ttl_max = "5s"
 probes-per-s = 60
+{bounds}
 """
+_host_numbers = itertools.count()
+
+
+def choose_loopback_address() -> str:
+    """Return a loopback address that no other process uses, so that its ports stay free until use.
+
+    On 127.0.0.1, outgoing connections of any process could take such a port in the meantime.
+    """
+    pid = os.getpid()
+    return f"127.{16 + pid % 200}.{pid // 200 % 250}.{next(_host_numbers) % 250 + 1}"
 
 
 def find_free_ports(host: str, count: int) -> list[int]:
@@ -50,18 +63,27 @@
     zone: str = "d1",
     grace: str = "2s",
     seeds: t.Iterable[str] = (),
+    bounds: t.Iterable[str] = (),
 ) -> dict[str, int]:
     """Write a settings file with free ports.
 
     :param store_address: the address of the metadata store.
     :param grace: time between the stop signal and the kill of the node, with its unit.
     :param seeds: peer addresses of the nodes through which the node joins the membership.
+    :param bounds: further lines of the table of bounds.
     :returns: the ports by listener name, as in ``NODE_PORT_NAMES``.
     """
     ports = dict(zip(NODE_PORT_NAMES, find_free_ports(host, len(NODE_PORT_NAMES)), strict=True))
     quoted = ", ".join(f'"{seed}"' for seed in seeds)
     text = _SETTINGS_TEMPLATE.format(
-        name=name, host=host, zone=zone, store=store_address, grace=grace, seeds=quoted, **ports
+        name=name,
+        host=host,
+        zone=zone,
+        store=store_address,
+        grace=grace,
+        seeds=quoted,
+        bounds="\n".join(bounds),
+        **ports,
     )
     path.write_text(text, encoding="utf-8")
     return ports
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -4,7 +4,6 @@
 import contextlib
 import itertools
 import json
-import os
 import time
 
 import aiohttp
@@ -22,22 +21,13 @@
 from standins.configuration import build_configuration
 from standins.configuration import build_route
 from standins.instance import StandInInstance
+from standins.settings import choose_loopback_address
 from standins.settings import find_free_ports
 from standins.store import StandInStore
 
 HOST = "127.0.0.1"
 NODE_OPTIONS = NodeOptions(metrics=MetricSettings(exporter="none"), fatal_invariants=True)
 _request_numbers = itertools.count(1)
-_host_numbers = itertools.count()
-
-
-def choose_loopback_address():
-    """Return a loopback address that no other process uses, so that its ports stay free until use.
-
-    On 127.0.0.1, outgoing connections of any process could take such a port in the meantime.
-    """
-    pid = os.getpid()
-    return f"127.{16 + pid % 200}.{pid // 200 % 250}.{next(_host_numbers) % 250 + 1}"
 
 
 class RecordingOutput(LineOutput):
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -11,9 +11,9 @@
 import aiohttp
 import pytest
 
+from standins.settings import choose_loopback_address
 from standins.settings import write_node_settings
 from tests.deployment import Deployment
-from tests.deployment import choose_loopback_address
 from tests.deployment import run_scenario
 from tests.deployment import wait_until
 
