--- a/Makefile
+++ b/Makefile
@@ -17,9 +17,9 @@
 paths := tests/test_lost_paths.py tests/test_probes_by_demand.py tests/test_fleet.py
 nodes := tests/test_endless_data.py tests/test_explanation.py tests/test_key_revocation.py \
 	tests/test_node.py tests/test_node_program.py tests/test_relays.py tests/test_store_restore.py
-programs := tests/test_planned_stops.py tests/test_programs.py
+programs := tests/test_planned_stops.py tests/test_programs.py tests/test_node_soak.py
 
-.PHONY: demo demo-standalone test $(TEST_GROUPS:%=test-%) test-others lint format soak bench slopes lock clean
+.PHONY: demo demo-standalone test $(TEST_GROUPS:%=test-%) test-others lint format soak node-soak bench slopes lock clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -54,6 +54,9 @@
 soak: $(STAMP)
 	$(BIN)/python -m bench.soak --seed $(SEED) --minutes $(MINUTES)
 
+node-soak: $(STAMP)
+	$(BIN)/python -m bench.node_soak --seed $(SEED) --minutes $(MINUTES)
+
 bench: $(STAMP)
 	$(BIN)/python -m bench.overhead
 	$(BIN)/python -m bench.routing
