Reuse open connections to servers for probes and requests

Cause: nearly all new connections were opened by probes, which went to random servers of the subset. A node of a large fleet sends about one request per second to a service, so most of these connections exceed their idle limit before their next use. Requests themselves nearly always reuse the connection of a probe.

Servers with an open connection are probed first, except for 1 in 20 placements. A probe opens a connection only if one more report is expected to save more time than the round trip and the 1 ms of a slot that the connection costs. The choice of a server and of borrowed servers counts that cost as well. Connections are counted by purpose and reason.

--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -93,6 +93,7 @@
                 proxied, load
             ),
         )
+        dispatchers.is_connected = lambda address: self.connections.has_usable(address)
         self.quarantine = CrashQuarantine(clock=time.monotonic)
         self.crash_detector = CrashDetector(
             quarantine=self.quarantine, get_connections=lambda: self.connections
--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -95,6 +95,8 @@
         self.regions: t.Mapping[str, str] = {}
         # Called with a dispatcher when one of its requests has to wait for a server.
         self.on_queued: t.Callable[[Dispatcher], None] = lambda dispatcher: None
+        # Returns whether an open connection to an address is idle.
+        self.is_connected: t.Callable[[str], bool] = lambda address: True
         # Called with a dispatcher whose path to its servers is in doubt.
         self.on_path_doubt: t.Callable[[Dispatcher], None] = lambda dispatcher: None
         # Number of all nodes, and of those in this node's failure domain.
@@ -125,6 +127,7 @@
                 regions=regions,
             )
             dispatcher.on_queued = self.on_queued
+            dispatcher.is_connected = lambda address: self.is_connected(address)
             dispatcher.path.on_doubt = lambda: self.on_path_doubt(dispatcher)
             self._by_service[service, regions] = dispatcher
             self._refresh_dispatcher(dispatcher)
@@ -277,7 +280,7 @@
         """Add servers outside of this node's subset for a while; return them.
 
         Servers of this node's failure domain come first. The others are added only when all of
-        these are in use.
+        these are in use. Servers with an open connection come first, as no other is opened then.
 
         :param count: the maximum number of servers to add.
         """
@@ -295,7 +298,11 @@
         candidates = local or candidates
         now = time.monotonic()
         borrowed = []
-        for registered in self._rng.sample(candidates, min(count, len(candidates))):
+        self._rng.shuffle(candidates)
+        candidates.sort(
+            key=lambda registered: self.is_connected(registered.server.address), reverse=True
+        )
+        for registered in candidates[:count]:
             load = self._create_load(registered, now)
             load.borrowed_until = now + BORROW_TIME_S
             dispatcher.loads[load.server_id] = load
@@ -338,6 +345,9 @@
         if not load.record_report(report, observed_at):
             return False
         dispatcher.average_slowness.record_slowness(report.slowness)
+        dispatcher.report_value.record_report(
+            slowness=report.slowness, is_full=report.running + report.waiting >= load.slots
+        )
         return True
 
     def retain_routes(self, route_names: set[str]) -> None:
--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -26,6 +26,7 @@
 from ..routing.probe_budget import USABLE_LIMIT_FRACTION
 from ..routing.probe_budget import OwnProbes
 from ..routing.request_shares import PROBES_PER_S
+from ..transport.connection_pool import PURPOSE_PROBE
 from ..transport.response_memory import ResponseMemory
 from .gateway import Gateway
 from .probe_grants import ProbeGrants
@@ -51,6 +52,9 @@
 BORROW_AHEAD_S = 1.0
 # A probe without a response after this time puts the path to the service in doubt, in seconds.
 SILENCE_S = 0.1
+# Servers with an open connection are probed first, but for this share of the placements. A node
+# with many requests would otherwise leave the rest of its subset unused.
+EXPLORATION_SHARE = 0.05
 # longest time that a request waits for a sign of life, in which the path is checked
 MAX_SILENCE_WAIT_S = 0.4
 SILENCE_POLL_INTERVAL_S = 0.005
@@ -188,6 +192,10 @@
             and load.server_id not in self._probe_tasks
         ]
         self._rng.shuffle(candidates)
+        if self._rng.random() >= EXPLORATION_SHARE:
+            candidates.sort(
+                key=lambda load: (not dispatcher.is_connected(load.address), load.last_probe_at)
+            )
         fresh_count = sum(now - load.reported_at <= MIN_ASK_REPORT_AGE_S for load in available)
         asked_at = self._asked_at.get(dispatcher.service, float("-inf"))
         await self._obtain_reports(
@@ -222,6 +230,8 @@
         chosen: list[ServerLoad] = []
         others: list[ServerLoad] = []
         for load in loads:
+            if not self._is_probe_worthwhile(dispatcher, load, len(chosen)):
+                continue
             if len(chosen) < count and self._may_probe_unasked(dispatcher, load, now):
                 chosen.append(load)
             elif self._may_ask(dispatcher, load, now):
@@ -257,6 +267,20 @@
         if tasks:
             await asyncio.wait(tasks, timeout=self._options.wait_s)
 
+    def _is_probe_worthwhile(
+        self, dispatcher: Dispatcher, load: ServerLoad, report_count: int
+    ) -> bool:
+        """Return whether a report of a server is worth a new connection, if it takes one.
+
+        :param report_count: number of servers that are probed for the same placement.
+        """
+        if report_count == 0 or load.requires_health:
+            return True
+        gain_s = dispatcher.report_value.estimate_gain_s(
+            report_count, service_time_s=dispatcher.service_time_s
+        )
+        return dispatcher.get_connect_cost_s(load) < gain_s
+
     def _may_ask(self, dispatcher: Dispatcher, load: ServerLoad, now: float) -> bool:
         """Return whether the owner may provide a report of a server that this node needs."""
         bucket = load.request_bucket
@@ -342,7 +366,7 @@
         if service is None:
             return
         connections = self._gateway.connections
-        connection = await connections.acquire(load.address)
+        connection = await connections.acquire(load.address, purpose=PURPOSE_PROBE)
         if not connection.reused:
             dispatcher.path.record_connection()
         headers: CIMultiDict[str] = CIMultiDict({"Host": load.address})
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -68,7 +68,10 @@
         return [(gateway.count_queued(), {})]
 
     def read_opened_connections():
-        return [(gateway.connections.opened_count, {})]
+        return [
+            (count, {"purpose": purpose, "reason": reason})
+            for (purpose, reason), count in gateway.connections.opened_counts.items()
+        ]
 
     def read_failed_connections():
         return [(gateway.connections.failed_count, {})]
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -25,9 +25,11 @@
 from .fair_queueing import Rank
 from .load import MAX_FRESH_REPORT_AGE_S
 from .load import ServerLoad
+from .placement import ReportValue
 from .placement import ServerEstimate
 from .placement import SlownessEwma
 from .placement import choose_servers
+from .placement import compute_connect_cost_s
 from .service_path import ServicePath
 from .service_times import ServiceTimes
 
@@ -151,12 +153,15 @@
         self.loads: dict[str, ServerLoad] = {}
         self.path = ServicePath(clock=clock)
         self.average_slowness = SlownessEwma()
+        self.report_value = ReportValue()
         self._service_times = service_times or ServiceTimes()
         self._round_trips = round_trips or RoundTrips()
         # number of nodes that send requests to the same servers, on average
         self.node_count = 1.0
         # called with this dispatcher when a request has to wait for a server
         self.on_queued: t.Callable[[Dispatcher], None] = lambda dispatcher: None
+        # returns whether an open connection to an address is idle
+        self.is_connected: t.Callable[[str], bool] = lambda address: True
         self._queue: list[_QueuedRequest] = []
         # ``None`` until a request of a client account arrives
         self._fair_queue: FairQueue | None = None
@@ -438,8 +443,15 @@
             service_time_s=self.service_time_s,
             failure_domain=self._failure_domain,
             rng=self._rng,
+            get_connect_cost_s=self.get_connect_cost_s,
         )
 
+    def get_connect_cost_s(self, load: ServerLoad) -> float:
+        """Return what opening a connection to a server costs, in seconds; 0 if one is open."""
+        if self.is_connected(load.address):
+            return 0.0
+        return compute_connect_cost_s(self._round_trips.get_s(load.failure_domain))
+
     def _is_feasible(self, request: PlacementRequest, now: float) -> bool:
         return now + SERVICE_TIME_MARGIN_FACTOR * request.service_time_s < request.target_at
 
--- a/src/jasmineseam/routing/domain_choice.py
+++ b/src/jasmineseam/routing/domain_choice.py
@@ -49,6 +49,10 @@
         limited_s = min(round_trip_s, 2 * known_s)
         self._by_domain[failure_domain] = known_s + ROUND_TRIP_EWMA_ALPHA * (limited_s - known_s)
 
+    def get_s(self, failure_domain: str) -> float:
+        """Return the round trip to a failure domain in seconds, 0 if not known."""
+        return self._by_domain.get(failure_domain, 0.0)
+
     def get_extra_s(self, failure_domain: str, *, own: str) -> float:
         """Return how much longer the round trip is than in the own domain, 0 if not known."""
         if failure_domain not in self._by_domain or own not in self._by_domain:
--- a/src/jasmineseam/routing/placement.py
+++ b/src/jasmineseam/routing/placement.py
@@ -31,6 +31,8 @@
 OVERDUE_SERVICE_TIME_FACTOR = 6.0
 STALLED_SERVER_LATENCY_FACTOR = 3.0
 UNANSWERED_PROBE_LATENCY_FACTOR = 3.0
+# Time of a slot that a server spends on accepting a connection, in seconds.
+CONNECT_WORK_S = 0.001
 # largest random increase of an estimate, as a fraction of the estimate
 TIE_BREAK_JITTER_FRACTION = 0.03
 
@@ -70,6 +72,53 @@
         self.value += self.ALPHA * (min(slowness, 20.0) - self.value)
 
 
+class ReportValue:
+    """How much time a further load report saves a request, from the reports so far.
+
+    A request that has reports of some servers gains from one more if none of those suits: if their
+    hosts are slow or all their slots are in use.
+
+    >>> value = ReportValue()
+    >>> for _ in range(100):
+    ...     for slowness in (1.0, 1.0, 1.0, 1.0, 5.0):
+    ...         value.record_report(slowness=slowness, is_full=False)
+    >>> [round(value.estimate_gain_s(count, service_time_s=0.1), 3) for count in (1, 2, 3)]
+    [0.018, 0.004, 0.001]
+    """
+
+    __slots__ = ("_mean_loss", "_unsuitable_share")
+
+    ALPHA = 0.01
+    # slowness from which a server is not suitable
+    MIN_UNSUITABLE_SLOWNESS = 1.5
+    # time that a request waits for a slot, as a multiple of the service time
+    FULL_SERVER_LOSS = 1.0
+
+    def __init__(self) -> None:
+        # initial estimates, until load reports arrive
+        self._mean_loss = 0.5
+        self._unsuitable_share = 0.2
+
+    def record_report(self, *, slowness: float, is_full: bool) -> None:
+        """Update the estimates from one load report.
+
+        :param is_full: whether all slots of the server are in use.
+        """
+        # samples are limited to 20, as those of SlownessEwma
+        loss = min(slowness, 20.0) - 1.0 + self.FULL_SERVER_LOSS * is_full
+        is_unsuitable = is_full or slowness >= self.MIN_UNSUITABLE_SLOWNESS
+        self._mean_loss += self.ALPHA * (max(0.0, loss) - self._mean_loss)
+        self._unsuitable_share += self.ALPHA * (is_unsuitable - self._unsuitable_share)
+
+    def estimate_gain_s(self, report_count: int, *, service_time_s: float) -> float:
+        """Return the time that a request gains by one more report, in seconds.
+
+        :param report_count: number of servers with a report so far.
+        :param service_time_s: service time on a host of normal speed, in seconds.
+        """
+        return service_time_s * self._mean_loss * self._unsuitable_share**report_count
+
+
 def estimate_slowness(load: ServerLoad, now: float, average_slowness: float) -> float:
     """Return the expected slowness of a server's host, weighted by the age of its last report.
 
@@ -119,6 +168,14 @@
     return ServerEstimate(load, factor, excess <= 0)
 
 
+def compute_connect_cost_s(round_trip_s: float) -> float:
+    """Return what a new connection costs: a round trip and the server's work, in seconds.
+
+    :param round_trip_s: round trip to the server, in seconds.
+    """
+    return round_trip_s + CONNECT_WORK_S
+
+
 def choose_servers(
     loads: t.Iterable[ServerLoad],
     *,
@@ -127,6 +184,7 @@
     service_time_s: float,
     failure_domain: str,
     rng: random.Random,
+    get_connect_cost_s: t.Callable[[ServerLoad], float] = lambda load: 0.0,
 ) -> tuple[ServerEstimate | None, ServerEstimate | None]:
     """Return the best server with a free slot and the best server overall.
 
@@ -137,6 +195,8 @@
     :param service_time_s: service time on a host of normal speed, in seconds.
     :param failure_domain: failure domain of this node.
     :param rng: breaks ties, so that nodes with the same information choose different servers.
+    :param get_connect_cost_s: returns what opening a connection to a server costs, in seconds; 0
+        if one is open.
     """
     best_free = best = None
     available = [load for load in loads if now >= load.get_available_at(now)]
@@ -144,6 +204,8 @@
     for load in known or available:
         candidate = estimate_server(load, now, average_slowness, service_time_s, failure_domain)
         factor = candidate.latency_factor * (1.0 + TIE_BREAK_JITTER_FRACTION * rng.random())
+        if service_time_s > 0.0:
+            factor += get_connect_cost_s(load) / service_time_s
         candidate = ServerEstimate(load, factor, candidate.has_free_slot)
         if best is None or factor < best.latency_factor:
             best = candidate
--- a/src/jasmineseam/transport/connection_pool.py
+++ b/src/jasmineseam/transport/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import time
 
 from ..exceptions import AttemptNotRunError
@@ -10,6 +11,15 @@
 
 CONNECT_TIMEOUT_S = 0.3
 MAX_IDLE_CONNECTIONS_PER_SERVER = 16
+PURPOSE_REQUEST = "request"
+PURPOSE_PROBE = "probe"
+PURPOSE_CHECK = "check"
+# Reasons for which a connection is opened: the last idle one was closed after its idle limit or by
+# the server; it was idle for too long for a request that may run at most once; or there was none,
+# because all are in use or none was opened before.
+REASON_EXPIRED = "expired"
+REASON_TOO_IDLE = "too-idle"
+REASON_NONE_IDLE = "none-idle"
 
 
 class ConnectionPool:
@@ -21,36 +31,55 @@
     def __init__(self, *, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[ServerConnection]] = {}
-        self.opened_count = 0
+        # addresses whose last idle connection has expired
+        self._expired: set[str] = set()
+        # number of opened connections by purpose and reason
+        self.opened_counts: collections.Counter[tuple[str, str]] = collections.Counter()
         self.failed_count = 0
 
-    async def acquire(self, address: str, max_idle_s: float = float("inf")) -> ServerConnection:
+    @property
+    def opened_count(self) -> int:
+        """Number of opened connections."""
+        return self.opened_counts.total()
+
+    async def acquire(
+        self,
+        address: str,
+        max_idle_s: float = float("inf"),
+        *,
+        purpose: str = PURPOSE_REQUEST,
+    ) -> ServerConnection:
         """Return an idle connection, or open a new one.
 
         :param address: ``ip:port`` of the server.
         :param max_idle_s: maximum idle time of a reused connection, in seconds; connections that
             have been idle for longer stay in the pool.
+        :param purpose: use of the connection, for the count of opened connections.
         :raises AttemptNotRunError: if no connection can be opened.
         """
         idle = self._idle.get(address)
         now = time.monotonic()
+        reason = REASON_EXPIRED if address in self._expired else REASON_NONE_IDLE
         while idle:
             connection = idle[-1]
             idle_s = now - connection.last_used_at
             usable = connection.is_reusable and idle_s < connection.idle_limit_s
             if usable and idle_s >= max_idle_s:
+                reason = REASON_TOO_IDLE
                 break
             idle.pop()
             if usable:
                 connection.reused = True
                 return connection
             connection.close()
+            reason = REASON_EXPIRED
         try:
             connection = await self._open(address, self._connect_timeout_s)
         except AttemptNotRunError:
             self.failed_count += 1
             raise
-        self.opened_count += 1
+        self.opened_counts[purpose, reason] += 1
+        self._expired.discard(address)
         return connection
 
     async def check(self, address: str, timeout_s: float) -> bool:
@@ -62,7 +91,7 @@
             connection = await self._open(address, timeout_s)
         except AttemptNotRunError:
             return False
-        self.opened_count += 1
+        self.opened_counts[PURPOSE_CHECK, REASON_NONE_IDLE] += 1
         self.release(address, connection)
         return True
 
@@ -84,6 +113,19 @@
         """Return whether an idle connection to a server is open."""
         return any(connection.is_reusable for connection in self._idle.get(address, ()))
 
+    def has_usable(self, address: str, max_idle_s: float = float("inf")) -> bool:
+        """Return whether :meth:`acquire` would return an idle connection.
+
+        :param max_idle_s: maximum idle time of the connection, in seconds.
+        """
+        now = time.monotonic()
+        for connection in self._idle.get(address, ()):
+            idle_s = now - connection.last_used_at
+            limit_s = min(max_idle_s, connection.idle_limit_s)
+            if idle_s < limit_s and connection.is_reusable:
+                return True
+        return False
+
     def release(self, address: str, connection: ServerConnection) -> None:
         """Return a connection to the pool.
 
@@ -103,6 +145,7 @@
         """Close the idle connections to a server, which has restarted."""
         for connection in self._idle.pop(address, []):
             connection.close()
+        self._expired.discard(address)
 
     def expire_connections(self, addresses: set[str]) -> None:
         """Close connections that are no longer reusable or have been idle for too long.
@@ -110,6 +153,7 @@
         :param addresses: addresses of the current servers; connections to others are closed too.
         """
         now = time.monotonic()
+        self._expired &= addresses
         for address, idle in list(self._idle.items()):
             kept = []
             for connection in idle:
@@ -123,6 +167,8 @@
                 self._idle[address] = kept
                 continue
             del self._idle[address]
+            if idle and address in addresses:
+                self._expired.add(address)
 
     def count_idle(self) -> int:
         """Return the number of idle connections."""
--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -373,7 +373,7 @@
         # times at which connections were opened
         self.opened_at = []
 
-    async def acquire(self, address, max_idle_s=float("inf")):
+    async def acquire(self, address, max_idle_s=float("inf"), *, purpose=""):
         idle = self._idle[address]
         while idle:
             connection = idle.pop()
@@ -402,6 +402,9 @@
     def has_idle(self, address):
         return any(connection.is_usable() for connection in self._idle[address])
 
+    def has_usable(self, address, max_idle_s=float("inf")):
+        return self.has_idle(address)
+
     def release(self, address, connection):
         idle = self._idle[address]
         if len(idle) < self.MAX_IDLE:
