--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -20,8 +20,10 @@
 from .domain_choice import RoundTrips
 from .load import MAX_FRESH_REPORT_AGE_S
 from .load import ServerLoad
+from .placement import ReportValue
 from .placement import ServerEstimate
 from .placement import SlownessEwma
+from .placement import compute_connect_cost_s
 from .queue_order import AccountShare
 from .queue_order import PlacementRequest
 from .queue_order import QueuedRequest
@@ -82,14 +84,18 @@
         self.loads: dict[str, ServerLoad] = {}
         self.path = ServicePath(clock=clock)
         self.average_slowness = SlownessEwma()
+        self.report_value = ReportValue()
         self._service_times = service_times or ServiceTimes()
+        self._round_trips = round_trips or RoundTrips()
         self._server_chooser = ServerChooser(
-            failure_domain=failure_domain, rng=rng, round_trips=round_trips or RoundTrips()
+            failure_domain=failure_domain, rng=rng, round_trips=self._round_trips
         )
         # number of nodes that send requests to the same servers, on average
         self.node_count = 1.0
         # called with this dispatcher when a request has to wait for a server
         self.on_queued: t.Callable[[Dispatcher], None] = lambda dispatcher: None
+        # returns whether an open connection to an address is idle
+        self.is_connected: t.Callable[[str], bool] = lambda address: True
         self._queue = RequestQueue()
         self._reserved_slots = ReservedSlots()
         self._retry_reservations = RetryReservations()
@@ -323,8 +329,15 @@
             now,
             average_slowness=self.average_slowness.value,
             service_time_s=self.service_time_s,
+            get_connect_cost_s=self.get_connect_cost_s,
         )
 
+    def get_connect_cost_s(self, load: ServerLoad) -> float:
+        """Return what opening a connection to a server costs, in seconds; 0 if one is open."""
+        if self.is_connected(load.address):
+            return 0.0
+        return compute_connect_cost_s(self._round_trips.get_s(load.failure_domain))
+
     def _record_placement(self, queued: QueuedRequest) -> None:
         self._queue.record_placement(queued)
         self._reserved_slots.record_placement(queued.request.rank)
--- a/src/jasmineseam/routing/server_choice.py
+++ b/src/jasmineseam/routing/server_choice.py
@@ -51,11 +51,13 @@
         *,
         average_slowness: float,
         service_time_s: float,
+        get_connect_cost_s: t.Callable[[ServerLoad], float],
     ) -> BestServers:
         """Return the best server with a free slot and the best server overall.
 
         :param average_slowness: average slowness of the service's hosts.
         :param service_time_s: average service time of all requests, in seconds.
+        :param get_connect_cost_s: returns what opening a connection to a server costs, in seconds.
         """
 
         def choose_among(candidates: list[ServerLoad]) -> BestServers:
@@ -66,6 +68,7 @@
                 service_time_s=service_time_s,
                 failure_domain=self._failure_domain,
                 rng=self._rng,
+                get_connect_cost_s=get_connect_cost_s,
             )
 
         def choose_nearer(
