Hedge by a quantile of the route's latencies

Cause: a hedge started after 1.6 times the mean service time, which a few slow requests raise, and was sent only if the mean, times the average slowness of hosts, fitted before the target. On a route where 3 in 100 requests take seven times as long, most hedges found no server that way.

An attempt is overdue after 1.2 times the 0.9 quantile of the newest 64 latencies of its route at the service; with fewer than 10 of them after 1.6 times the expected service time, as before. The hedge is expected to take the median of the route. No hedge is started while requests wait for the service. The node and bench/fleet.py use one function. Hedges are counted by result.

Corrects the example values in the doc comment of ReportValue, which failed as a doctest.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -20,16 +20,17 @@
 from jasmineseam.exceptions import AttemptNotRunError
 from jasmineseam.exceptions import NotRunError
 from jasmineseam.measuring.load_reports import DetailedLoadReport
-from jasmineseam.node.attempts import HEDGE_CHECK_INTERVAL_S
-from jasmineseam.node.attempts import HEDGE_MIN_SLOWNESS
-from jasmineseam.node.attempts import HEDGE_OVERDUE_FACTOR
-from jasmineseam.node.attempts import HEDGE_RESERVED_BUDGET_FRACTION
 from jasmineseam.node.load_prober import QUEUE_PROBE_INTERVAL_S
 from jasmineseam.routing import subsets
 from jasmineseam.routing.attempt_race import race_attempts
 from jasmineseam.routing.caller_timeout import CallerTimeoutEstimator
 from jasmineseam.routing.dispatch import Dispatcher
 from jasmineseam.routing.dispatch import PlacementRequest
+from jasmineseam.routing.hedging import FIRST_HEDGE_CHECK_S
+from jasmineseam.routing.hedging import HEDGE_CHECK_INTERVAL_S
+from jasmineseam.routing.hedging import HEDGE_RESERVED_BUDGET_FRACTION
+from jasmineseam.routing.hedging import RouteLatencies
+from jasmineseam.routing.hedging import find_hedge_cause
 from jasmineseam.routing.load import ServerLoad
 from jasmineseam.routing.service_times import ServiceTimes
 from jasmineseam.routing.window_retry_budget import SlidingWindowRetryBudget
@@ -155,6 +156,7 @@
         self._dispatchers = [self._make_dispatcher(n) for n in range(settings.nodes)]
         self._timeout_estimators = [CallerTimeoutEstimator() for _ in range(settings.nodes)]
         self._retry_budgets = [self._make_retry_budget() for _ in range(settings.nodes)]
+        self._route_latencies = [RouteLatencies() for _ in range(settings.nodes)]
         self._queue_tasks: dict[int, asyncio.Task] = {}
         self._outcome_counts = {"in_time": 0, "late": 0, "failed": 0}
 
@@ -307,19 +309,26 @@
     ) -> None:
         dispatcher = self._dispatchers[node]
         started_at = self._loop.time()
-        first = self._run_request(node, load)
+        latencies = self._route_latencies[node]
+        overdue_s = latencies.get_overdue_s(
+            dispatcher.service, ROUTE_NAME, service_time_s=request.service_time_s
+        )
 
         def start_hedge() -> t.Coroutine | None:
             now = self._loop.time()
-            overdue = now - started_at > HEDGE_OVERDUE_FACTOR * request.service_time_s
-            if not overdue and load.get_fresh_slowness(now) < HEDGE_MIN_SLOWNESS:
-                return None
-            return send_hedge()
+            cause = find_hedge_cause(
+                elapsed_s=now - started_at,
+                overdue_s=overdue_s,
+                slowness=load.get_fresh_slowness(now),
+                queued_count=dispatcher.count_queued(),
+            )
+            return None if cause is None else send_hedge()
 
         async def send_hedge() -> None:
             await self._probe(node)
             hedge_load = dispatcher.choose_hedge_server(
-                request._replace(excluded_server_ids={load.server_id})
+                request._replace(excluded_server_ids={load.server_id}),
+                latencies.get_typical_s(dispatcher.service, ROUTE_NAME),
             )
             if hedge_load is None or not self._retry_budgets[node].take_attempt(
                 HEDGE_RESERVED_BUDGET_FRACTION
@@ -328,12 +337,13 @@
             await self._run_request(node, hedge_load)
 
         await race_attempts(
-            first,
-            delay_s=HEDGE_CHECK_INTERVAL_S,
+            self._run_request(node, load),
+            delay_s=FIRST_HEDGE_CHECK_S,
             start_hedge=start_hedge,
             is_success=lambda _: True,
             recheck_interval_s=HEDGE_CHECK_INTERVAL_S,
         )
+        latencies.record(dispatcher.service, ROUTE_NAME, self._loop.time() - started_at)
 
     async def _run_request(self, node: int, load: ServerLoad) -> None:
         dispatcher = self._dispatchers[node]
--- a/src/jasmineseam/node/attempts.py
+++ b/src/jasmineseam/node/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import random
 import time
 import typing as t
@@ -23,6 +24,10 @@
 from ..routing.dispatch import AccountShare
 from ..routing.dispatch import Dispatcher
 from ..routing.dispatch import PlacementRequest
+from ..routing.hedging import FIRST_HEDGE_CHECK_S
+from ..routing.hedging import HEDGE_CHECK_INTERVAL_S
+from ..routing.hedging import HEDGE_RESERVED_BUDGET_FRACTION
+from ..routing.hedging import find_hedge_cause
 from ..routing.home_regions import compute_home_regions
 from ..routing.load import ServerLoad
 from ..routing.quarantine import Admission
@@ -37,16 +42,6 @@
 from .server_client import ServerClient
 
 MAX_CONNECT_FAILURES_PER_REQUEST = 5
-# Hedges leave this fraction of the retry budget to retries.
-HEDGE_RESERVED_BUDGET_FRACTION = 0.25
-# Interval at which a running attempt is checked for hedging.
-HEDGE_CHECK_INTERVAL_S = 0.02
-# A hedge is started if the server of the first attempt reports at least this slowness: the current
-# service time on its host as a multiple of the normal one.
-HEDGE_MIN_SLOWNESS = 1.8
-# A hedge is also started if the first attempt takes longer than this multiple of the expected
-# service time.
-HEDGE_OVERDUE_FACTOR = 1.6
 # With less than this fraction of the expected service time left before the deadline, another
 # attempt could not finish in time.
 MIN_ATTEMPT_TIME_FRACTION = 0.5
@@ -84,6 +79,8 @@
         self._dispatchers = dispatchers
         self._retry_limits = retry_limits
         self._retry_budgets: dict[str, SlidingWindowRetryBudget] = {}
+        # number of hedges by result: started by cause, won, or not started by reason
+        self.hedge_counts: collections.Counter[str] = collections.Counter()
         self._server_client = ServerClient(
             header_codec=header_codec,
             registry=registry,
@@ -304,21 +301,34 @@
     async def _send_hedged_attempt(
         self, proxied: ProxiedRequest, load: ServerLoad, budget: SlidingWindowRetryBudget
     ) -> ServerResponse:
-        first_attempt = self._server_client.send_attempt(proxied, load)
         route = proxied.route
         if not route.idempotent or proxied.attempt_count + 1 >= route.max_attempts:
-            return await first_attempt
+            return await self._server_client.send_attempt(proxied, load)
         dispatcher = proxied.dispatcher
+        latencies = self._dispatchers.route_latencies
+        overdue_s = latencies.get_overdue_s(
+            dispatcher.service, route.name, service_time_s=proxied.service_time_s
+        )
         started_at = time.monotonic()
+        hedge_responses: list[ServerResponse] = []
+
+        async def send_first_attempt() -> ServerResponse:
+            response = await self._server_client.send_attempt(proxied, load)
+            if _is_success(response):
+                latencies.record(dispatcher.service, route.name, time.monotonic() - started_at)
+            return response
 
         def start_hedge() -> t.Coroutine | None:
             if dispatcher.path.lost and not proxied.relayed:
                 return send_relayed_hedge()
             now = time.monotonic()
-            overdue = now - started_at > HEDGE_OVERDUE_FACTOR * proxied.service_time_s
-            if not overdue and load.get_fresh_slowness(now) < HEDGE_MIN_SLOWNESS:
-                return None
-            return send_probed_hedge()
+            cause = find_hedge_cause(
+                elapsed_s=now - started_at,
+                overdue_s=overdue_s,
+                slowness=load.get_fresh_slowness(now),
+                queued_count=self._dispatchers.count_queued(dispatcher.service),
+            )
+            return None if cause is None else send_probed_hedge(cause)
 
         async def send_relayed_hedge() -> ServerResponse:
             self._check_account_of_hedge(proxied)
@@ -331,27 +341,43 @@
             except UnknownOutcomeError as error:
                 raise AttemptOutcomeUnknownError(error.reason) from error
 
-        async def send_probed_hedge() -> ServerResponse:
+        async def send_probed_hedge(cause: str) -> ServerResponse:
             request = self._build_placement_request(proxied)
             await self.refresh_loads(dispatcher, request)
             hedge_server = dispatcher.choose_hedge_server(
-                request._replace(target_at=proxied.target_at)
+                request._replace(target_at=proxied.target_at),
+                latencies.get_typical_s(dispatcher.service, route.name),
             )
             self._check_account_of_hedge(proxied)
             if self.crash_detector.is_suspected(proxied):
                 raise AttemptNotRunError("no-hedge")
-            if hedge_server is None or not budget.take_attempt(HEDGE_RESERVED_BUDGET_FRACTION):
+            # Requests may have begun to wait while the load reports were obtained.
+            if self._dispatchers.count_queued(dispatcher.service):
+                self.hedge_counts["requests-waiting"] += 1
+                raise AttemptNotRunError("no-hedge")
+            if hedge_server is None:
+                self.hedge_counts["no-server"] += 1
+                raise AttemptNotRunError("no-hedge")
+            if not budget.take_attempt(HEDGE_RESERVED_BUDGET_FRACTION):
+                self.hedge_counts["no-budget"] += 1
                 raise AttemptNotRunError("no-hedge")
+            self.hedge_counts[cause] += 1
             hedge_server.take_token(time.monotonic())
-            return await self._server_client.send_attempt(proxied, hedge_server)
+            response = await self._server_client.send_attempt(proxied, hedge_server)
+            hedge_responses.append(response)
+            return response
 
-        return await race_attempts(
-            first_attempt,
-            delay_s=HEDGE_CHECK_INTERVAL_S,
+        response = await race_attempts(
+            send_first_attempt(),
+            delay_s=FIRST_HEDGE_CHECK_S,
             start_hedge=start_hedge,
             is_success=_is_success,
             recheck_interval_s=HEDGE_CHECK_INTERVAL_S,
         )
+        if any(response is hedge_response for hedge_response in hedge_responses):
+            self.hedge_counts["won"] += 1
+            latencies.record(dispatcher.service, route.name, time.monotonic() - started_at)
+        return response
 
     def _get_retry_budget(self, service: str) -> SlidingWindowRetryBudget:
         budget = self._retry_budgets.get(service)
--- a/src/jasmineseam/node/dispatchers.py
+++ b/src/jasmineseam/node/dispatchers.py
@@ -14,6 +14,7 @@
 from ..routing.dispatch import Dispatcher
 from ..routing.domain_choice import RoundTrips
 from ..routing.domain_choice import TransferPrices
+from ..routing.hedging import RouteLatencies
 from ..routing.load import ServerLoad
 from ..routing.request_shares import WARMUP_HOLD_S
 from ..routing.request_shares import RequestShare
@@ -87,6 +88,7 @@
         self._cold_ids: set[str] = set()
         self._rng = random.Random()
         self._service_times = ServiceTimes()
+        self.route_latencies = RouteLatencies()
         self.round_trips = RoundTrips()
         self.transfer_prices = transfer_prices or TransferPrices(price_s_per_mb=0.0)
         # The requests of each set of home regions have a dispatcher of their own.
@@ -139,6 +141,14 @@
             return 1
         return sum(dispatcher.service == service for dispatcher in self.list_all())
 
+    def count_queued(self, service: str) -> int:
+        """Return the number of requests that wait for a server of a service."""
+        return sum(
+            dispatcher.count_queued()
+            for dispatcher in self._by_service.values()
+            if dispatcher.service == service
+        )
+
     def has_servers(self, service: str) -> bool:
         """Return whether servers of a service are listed."""
         return bool(self._registry.list_usable(service))
@@ -353,6 +363,7 @@
     def retain_routes(self, route_names: set[str]) -> None:
         """Forget what was learned of routes that are not in the routing table any more."""
         self._service_times.retain_routes(route_names)
+        self.route_latencies.retain_routes(route_names)
         self.transfer_prices.retain_routes(route_names)
 
     def place_queued_requests(self) -> None:
--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -73,6 +73,9 @@
             for (purpose, reason), count in gateway.connections.opened_counts.items()
         ]
 
+    def read_hedges():
+        return [(count, {"result": name}) for name, count in gateway.attempts.hedge_counts.items()]
+
     def read_failed_connections():
         return [(gateway.connections.failed_count, {})]
 
@@ -154,6 +157,7 @@
     add_counter(
         provider, "connections.failed", "1", "Not opened to servers.", read_failed_connections
     )
+    add_counter(provider, "hedges", "1", "Second attempts, by result.", read_hedges)
     add_gauge(provider, "requests.in_flight", "1", "Requests held.", read_in_flight)
     add_gauge(provider, "requests.queued", "1", "Requests that wait.", read_queued)
     add_gauge(
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -23,6 +23,7 @@
 from .domain_choice import split_by_domain
 from .fair_queueing import FairQueue
 from .fair_queueing import Rank
+from .hedging import HEDGE_MIN_SLOWNESS
 from .load import MAX_FRESH_REPORT_AGE_S
 from .load import ServerLoad
 from .placement import ReportValue
@@ -241,13 +242,22 @@
             return False
         return now + best_free.latency_factor * request.service_time_s <= request.target_at
 
-    def choose_hedge_server(self, request: PlacementRequest) -> ServerLoad | None:
-        """Return a server that is expected to meet the target, ``None`` if there is none."""
+    def choose_hedge_server(
+        self, request: PlacementRequest, typical_s: float = float("inf")
+    ) -> ServerLoad | None:
+        """Return a server that may meet the target, ``None`` if there is none.
+
+        :param typical_s: usual latency of the route, in seconds. A hedge replaces an attempt that
+            is one of the slowest, so the mean, which includes these, is too high for it.
+        """
         now = self._clock()
         best, _ = self._estimate_best_servers(request, now)
-        if best is None or now + best.latency_factor * request.service_time_s > request.target_at:
+        if best is None:
             return None
-        return best.load
+        expected_s = best.latency_factor * request.service_time_s
+        if best.load.get_fresh_slowness(now) < HEDGE_MIN_SLOWNESS:
+            expected_s = min(expected_s, typical_s)
+        return best.load if now + expected_s <= request.target_at else None
 
     @property
     def service_time_s(self) -> float:
--- a/src/jasmineseam/routing/placement.py
+++ b/src/jasmineseam/routing/placement.py
@@ -83,7 +83,7 @@
     ...     for slowness in (1.0, 1.0, 1.0, 1.0, 5.0):
     ...         value.record_report(slowness=slowness, is_full=False)
     >>> [round(value.estimate_gain_s(count, service_time_s=0.1), 3) for count in (1, 2, 3)]
-    [0.018, 0.004, 0.001]
+    [0.017, 0.003, 0.001]
     """
 
     __slots__ = ("_mean_loss", "_unsuitable_share")
