--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -79,7 +79,7 @@
 
     in_time, started = run_seeds()
     use_old_rule(monkeypatch)
-    old_in_time, old_started = run_seeds()
+    old_in_time, _ = run_seeds()
     # 0.995 in time, and 0.985 with the rule by the mean
     assert in_time >= 0.988
     assert in_time > old_in_time
