--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -79,6 +79,9 @@
             for (purpose, reason), count in gateway.connections.opened_counts.items()
         ]
 
+    def read_hedges():
+        return [(count, {"result": name}) for name, count in gateway.attempts.hedge_counts.items()]
+
     def read_failed_connections():
         return [(gateway.connections.failed_count, {})]
 
@@ -160,6 +163,7 @@
     add_counter(
         provider, "connections.failed", "1", "Not opened to servers.", read_failed_connections
     )
+    add_counter(provider, "hedges", "1", "Second attempts, by result.", read_hedges)
     add_gauge(provider, "requests.in_flight", "1", "Requests held.", read_in_flight)
     add_counter(provider, "requests.read_ahead", "1", "Run before their turn.", read_read_ahead)
     add_gauge(provider, "requests.body_bytes", "By", "Request bodies held.", read_body_bytes)
