--- a/src/jasmineseam/node/metrics.py
+++ b/src/jasmineseam/node/metrics.py
@@ -67,6 +67,13 @@
     def read_queued():
         return [(gateway.count_queued(), {})]
 
+    def read_returned():
+        return [
+            (count, {"service": dispatcher.name, "result": result})
+            for dispatcher in gateway.dispatchers.list_all()
+            for result, count in dispatcher.returned_counts.items()
+        ]
+
     def read_opened_connections():
         return [(gateway.connections.opened_count, {})]
 
@@ -153,6 +160,7 @@
     )
     add_gauge(provider, "requests.in_flight", "1", "Requests held.", read_in_flight)
     add_gauge(provider, "requests.queued", "1", "Requests that wait.", read_queued)
+    add_counter(provider, "requests.returned", "1", "Back after a refusal.", read_returned)
     add_gauge(
         provider, "servers.request_limit", "1/s", "Named by servers in need.", read_request_limits
     )
--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -93,6 +93,8 @@
         self._queue = RequestQueue()
         self._reserved_slots = ReservedSlots()
         self._retry_reservations = RetryReservations()
+        # number of placements of requests that came back after a refusal, by result
+        self.returned_counts: collections.Counter[str] = collections.Counter()
         self._timer: asyncio.TimerHandle | None = None
         self._completion_times: collections.deque[float] = collections.deque()
         self.last_request_at = float("-inf")
@@ -107,6 +109,17 @@
         :raises PathLostError: if this node can't reach the servers.
         :raises NotRunError: if no server is expected to meet the deadline, or the queue is full.
         """
+        try:
+            load = await self._place(request)
+        except NotRunError as error:
+            if request.returned and not isinstance(error, PathLostError):
+                self.returned_counts["refused"] += 1
+            raise
+        if request.returned:
+            self.returned_counts["placed"] += 1
+        return load
+
+    async def _place(self, request: PlacementRequest) -> ServerLoad:
         if self.path.lost:
             raise _build_path_lost_error()
         now = self._clock()
