Repeat a request for nodes that was not answered after 0.25 s

A node that differs from another one requests its nodes at most once per second. A request without an answer is now repeated after 0.25 s; after an answer, the interval stays 1 s.

--- a/src/jasmineseam/fleet/spreading.py
+++ b/src/jasmineseam/fleet/spreading.py
@@ -48,6 +48,9 @@
 # interval between two contacts to nodes that failed or were never reached
 CONTACT_INTERVAL_S = 2.0
 NODES_REQUEST_INTERVAL_S = 1.0
+# A request for nodes that was not answered within this time was probably lost, and the next one is
+# sent. Otherwise one lost datagram keeps a new node unknown to this one for more than 2 s.
+NODES_REPLY_TIMEOUT_S = 0.25
 # A node that has met no majority of its seed contacts in this time takes the nodes that it knows
 # for the whole fleet, since the seed contacts may not be in use any more.
 SEEDS_TIMEOUT_S = 60.0
@@ -125,6 +128,8 @@
         self._flush_timer: asyncio.TimerHandle | None = None
         self._contacted_at = float("-inf")
         self._nodes_requested_at = float("-inf")
+        # VM id of the node that has not answered the last request, ``None`` if it has
+        self._nodes_requested_from: str | None = None
         self._last_state_changes = 0
         self._ran_at = clock()
         self._pause_timer: asyncio.TimerHandle | None = None
@@ -251,6 +256,8 @@
         elif isinstance(message, NodesRequest):
             self._send_nodes(sender.notice_address, message.group_hashes)
         elif isinstance(message, Update):
+            if sender.vm_id == self._nodes_requested_from:
+                self._nodes_requested_from = None
             self._handle_update(message)
         self._compare(sender, message.digest)
         self._notify_changes()
@@ -335,9 +342,12 @@
         now = self._clock()
         if digest.nodes_hash == combine_digests(digests):
             return
-        if now - self._nodes_requested_at < NODES_REQUEST_INTERVAL_S:
+        answered = self._nodes_requested_from is None
+        interval_s = NODES_REQUEST_INTERVAL_S if answered else NODES_REPLY_TIMEOUT_S
+        if now - self._nodes_requested_at < interval_s:
             return
         self._nodes_requested_at = now
+        self._nodes_requested_from = sender.vm_id
         request = NodesRequest(group_hashes=digests, **self._get_header())
         self._send(sender.notice_address, request)
 
