Let requests that are late take free slots as before

A less urgent request that is already late was refused although slots were free.

Change: only requests that can still be in time leave slots to more urgent ones, since they wait for the next one instead of being refused.

--- a/src/jasmineseam/routing/dispatch.py
+++ b/src/jasmineseam/routing/dispatch.py
@@ -385,7 +385,11 @@
             if self._expects_token(request, now):
                 return None
             raise NotRunError(self._get_unavailable_reason(), 503, self.estimate_retry_after_s())
-        if best_free is not None and self._must_leave_slots(request, now):
+        if (
+            best_free is not None
+            and is_feasible(request, now)
+            and self._must_leave_slots(request, now)
+        ):
             best_free = None
         service_time_s = request.service_time_s
         if (
