--- a/src/jasmineseam/programs/ctl.py
+++ b/src/jasmineseam/programs/ctl.py
@@ -1,6 +1,7 @@
 """``jasmineseam-ctl``: the command-line tool for operators.
 
-Exit codes: 0 success, 1 refused, 2 usage error, 3 outcome unknown.
+Exit codes: 0 success, 1 refused, 2 usage error, 3 outcome unknown. The check of a configuration has
+its own: 0 nothing found, 1 warnings, 2 errors.
 """
 
 from __future__ import annotations
@@ -33,6 +34,9 @@
 from ..peers.messages import DumpReply
 from ..peers.messages import DumpRequest
 from ..standalone.log_client import CATALOGUE_STREAM
+from .configuration_report import check_configuration
+from .configuration_report import format_report
+from .configuration_report import is_configuration
 from .operator_client import CommandReport
 from .operator_client import OperatorClient
 
@@ -167,13 +171,21 @@
     return ExitCode.SUCCESS
 
 
-def check(entry_file: pathlib.Path, *, json: bool = False) -> None:
-    """Check a catalogue entry without publishing it.
+def check(file: pathlib.Path, *, against: pathlib.Path | None = None, json: bool = False) -> None:
+    """Check a catalogue entry, or a configuration of nodes, without publishing it.
 
-    :param entry_file: the entry, JSON with comments.
+    A file with routes is a configuration. Its check exits with 0 if nothing was found, with 1
+    after warnings and with 2 after errors.
+
+    :param file: the entry, JSON with comments, or the configuration.
+    :param against: the configuration in force; the differences are printed.
     :param json: print the result as JSON.
     """
-    entry = _read_entry(entry_file)
+    if against is not None or is_configuration(file):
+        report = check_configuration(file, against)
+        print(msgspec.json.encode(report).decode() if json else format_report(report))
+        sys.exit(report.exit_code)
+    entry = _read_entry(file)
     _print_and_exit(CommandReport(status="valid", service=entry.service), json)
 
 
