--- a/src/jasmineseam/programs/ctl.py
+++ b/src/jasmineseam/programs/ctl.py
@@ -1,7 +1,7 @@
 """``jasmineseam-ctl``: the command-line tool for operators.
 
-Exit codes: 0 success, 1 refused, 2 usage error, 3 outcome unknown. The check of a configuration has
-its own: 0 nothing found, 1 warnings, 2 errors.
+Exit codes: 0 success, 1 refused, 2 usage error, 3 outcome unknown. The check of a configuration
+has its own: 0 nothing found, 1 warnings, 2 errors.
 """
 
 from __future__ import annotations
