Count placements of ranks and accounts in one class

Fair queueing and reserved slots had a copy each of the counts and of the rule that finds a starved group. Behaviour is unchanged; the tests of both pass.

--- a/src/jasmineseam/routing/fair_queueing.py
+++ b/src/jasmineseam/routing/fair_queueing.py
@@ -14,15 +14,12 @@
 
 import typing as t
 
+from .placement_counts import PlacementCounts
+
 # weight of an account without a quota, in requests per second
 DEFAULT_WEIGHT = 1.0
-# A rank or an account is starved while it is served less often than this fraction of how often all
-# are served. The limit is a quarter; the margin is for requests that fail after their placement.
-MIN_SERVED_FRACTION = 0.4
-# The counts of served and refused requests are halved when this many requests have been counted.
+# The counts of arrived and placed requests are halved when this many requests have been counted.
 COUNT_WINDOW = 200
-# A rank or an account with fewer counted requests is not judged.
-MIN_COUNT = 10
 # Accounts that have sent nothing for longer than the virtual time advances are forgotten when more
 # than this many are known.
 MAX_ACCOUNTS = 1000
@@ -35,14 +32,6 @@
     route_priority: int
 
 
-class _Counts:
-    __slots__ = ("arrived", "served")
-
-    def __init__(self) -> None:
-        self.arrived = 0.0
-        self.served = 0.0
-
-
 class FairQueue:
     """Virtual times of the accounts, and how often each rank and each account is served.
 
@@ -54,15 +43,14 @@
     (1.0, 0.2)
     """
 
-    __slots__ = ("_all", "_by_group", "_finish_times", "_virtual_time")
+    __slots__ = ("_counts", "_finish_times", "_virtual_time")
 
     def __init__(self) -> None:
         self._virtual_time = 0.0
         # virtual time at which the last request of each account is finished
         self._finish_times: dict[str, float] = {}
-        # counts of each rank and each account
-        self._by_group: dict[Rank | str, _Counts] = {}
-        self._all = _Counts()
+        # of each rank and each account
+        self._counts = PlacementCounts(window=COUNT_WINDOW)
 
     def assign_start(self, account: str, weight: float) -> float:
         """Return the virtual start time of a request that arrives now.
@@ -81,11 +69,7 @@
 
     def record_arrival(self, rank: Rank, account: str) -> None:
         """Count a request that needs a server."""
-        if self._all.arrived >= COUNT_WINDOW:
-            self._halve_counts()
-        for group in (rank, account):
-            self._by_group.setdefault(group, _Counts()).arrived += 1
-        self._all.arrived += 1
+        self._counts.record_arrival(rank, account)
 
     def record_placement(self, rank: Rank, account: str, start: float) -> None:
         """Count a request that has got a server.
@@ -93,25 +77,8 @@
         :param start: its virtual start time.
         """
         self._virtual_time = max(self._virtual_time, start)
-        for group in (rank, account):
-            self._by_group.setdefault(group, _Counts()).served += 1
-        self._all.served += 1
+        self._counts.record_placement(rank, account)
 
     def is_starved(self, rank: Rank, account: str) -> bool:
         """Return whether a rank or an account is served far less often than all requests are."""
-        for group in (rank, account):
-            counts = self._by_group.get(group)
-            if counts is None or counts.arrived < MIN_COUNT:
-                continue
-            served_fraction = counts.served / counts.arrived
-            if served_fraction < MIN_SERVED_FRACTION * self._all.served / self._all.arrived:
-                return True
-        return False
-
-    def _halve_counts(self) -> None:
-        for counts in (self._all, *self._by_group.values()):
-            counts.arrived /= 2
-            counts.served /= 2
-        self._by_group = {
-            group: counts for group, counts in self._by_group.items() if counts.arrived >= 1.0
-        }
+        return self._counts.is_starved(rank, account)
--- a/src/jasmineseam/routing/reserved_slots.py
+++ b/src/jasmineseam/routing/reserved_slots.py
@@ -16,9 +16,8 @@
 
 import math
 
-from .fair_queueing import MIN_COUNT
-from .fair_queueing import MIN_SERVED_FRACTION
 from .fair_queueing import Rank
+from .placement_counts import PlacementCounts
 
 # fraction of the slots reserved for feasible requests while all arriving requests are feasible
 RESERVED_SHARE = 0.5
@@ -31,14 +30,6 @@
 COUNT_WINDOW = 100
 
 
-class _Counts:
-    __slots__ = ("arrived", "placed")
-
-    def __init__(self) -> None:
-        self.arrived = 0.0
-        self.placed = 0.0
-
-
 class ReservedSlots:
     """Fractions of the arriving requests by which slots are reserved, in one dispatcher.
 
@@ -54,27 +45,23 @@
     8.0
     """
 
-    __slots__ = ("_all", "_by_rank", "_feasible_fraction")
+    __slots__ = ("_counts", "_feasible_fraction")
 
     def __init__(self) -> None:
         self._feasible_fraction = 1.0
-        self._by_rank: dict[Rank, _Counts] = {}
-        self._all = _Counts()
+        # of each rank
+        self._counts = PlacementCounts(window=COUNT_WINDOW)
 
     def record_arrival(self, rank: Rank, *, feasible: bool) -> None:
         """Count a request that needs a server."""
         self._feasible_fraction += FEASIBLE_FRACTION_EWMA_ALPHA * (
             feasible - self._feasible_fraction
         )
-        if self._all.arrived >= COUNT_WINDOW:
-            self._halve_counts()
-        self._by_rank.setdefault(rank, _Counts()).arrived += 1
-        self._all.arrived += 1
+        self._counts.record_arrival(rank)
 
     def record_placement(self, rank: Rank) -> None:
         """Count a request that has got a server."""
-        self._by_rank.setdefault(rank, _Counts()).placed += 1
-        self._all.placed += 1
+        self._counts.record_placement(rank)
 
     def compute_for_feasible(self, slots: int) -> float:
         """Return how many slots infeasible requests leave free.
@@ -91,23 +78,8 @@
         :param slots: the slots of all servers in use.
         :param node_count: number of nodes that use these servers.
         """
-        urgent = sum(counts.arrived for other, counts in self._by_rank.items() if other < rank)
-        if not urgent or self._is_starved(rank):
+        urgent = sum(arrived for other, arrived in self._counts.list_arrived() if other < rank)
+        if not urgent or self._counts.is_starved(rank):
             return 0.0
         unseen = 1.0 - 1.0 / max(1.0, node_count)
-        return URGENT_SLOTS_FACTOR * unseen * math.sqrt(slots * urgent / self._all.arrived)
-
-    def _is_starved(self, rank: Rank) -> bool:
-        counts = self._by_rank.get(rank)
-        if counts is None or counts.arrived < MIN_COUNT:
-            return False
-        placed_fraction = counts.placed / counts.arrived
-        return placed_fraction < MIN_SERVED_FRACTION * self._all.placed / self._all.arrived
-
-    def _halve_counts(self) -> None:
-        for counts in (self._all, *self._by_rank.values()):
-            counts.arrived /= 2
-            counts.placed /= 2
-        self._by_rank = {
-            rank: counts for rank, counts in self._by_rank.items() if counts.arrived >= 1.0
-        }
+        return URGENT_SLOTS_FACTOR * unseen * math.sqrt(slots * urgent / self._counts.arrived)
