Probe several servers before an order if no connection is open

Since the reuse of connections, a node without an open connection probed one server, so one failed connection told it too little to take the path as lost, and it sent the order. Ruled out: saved probes (the same without). Tried and reverted: a second sample after the first has failed; it comes too late.

Change: before a request that may run once, a node without any open connection probes as many servers as before.

--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -121,7 +121,14 @@
         started_at = time.monotonic()
         count = self._options.per_placement
         borrowed = self._borrow_ahead(dispatcher, count, started_at)
-        await self._probe_sample(dispatcher, request.excluded_server_ids)
+        # Without an open connection, this node may have been cut off from the servers since the
+        # last request. If several new ones fail, a request that may run once is relayed.
+        any_connection = not request.idempotent and not any(
+            dispatcher.is_connected(load.address) for load in dispatcher.loads.values()
+        )
+        await self._probe_sample(
+            dispatcher, request.excluded_server_ids, any_connection=any_connection
+        )
         if not request.idempotent:
             await self._wait_for_sign_of_life(dispatcher, started_at)
         if borrowed:
@@ -179,7 +186,12 @@
                 await self._borrow_servers(dispatcher, 1)
 
     async def _probe_sample(
-        self, dispatcher: Dispatcher, excluded_ids: set[str], *, queued: bool = False
+        self,
+        dispatcher: Dispatcher,
+        excluded_ids: set[str],
+        *,
+        queued: bool = False,
+        any_connection: bool = False,
     ) -> None:
         now = time.monotonic()
         available = [
@@ -206,6 +218,7 @@
             self._options.per_placement,
             fresh_count=fresh_count,
             may_ask=not queued or now - asked_at >= QUEUE_ASK_INTERVAL_S,
+            any_connection=any_connection,
         )
 
     async def _obtain_reports(
@@ -216,6 +229,7 @@
         *,
         fresh_count: int = 0,
         may_ask: bool = True,
+        any_connection: bool = False,
     ) -> bool:
         """Obtain reports of some of the given servers, the first of them by preference.
 
@@ -224,6 +238,7 @@
 
         :param fresh_count: number of servers that need no report.
         :param may_ask: whether the owner may be asked.
+        :param any_connection: whether connections are opened whatever the reports are worth.
         :returns: whether the owner was asked.
         """
         if not loads or self.max_probes_per_s <= 0.0:
@@ -232,7 +247,7 @@
         chosen: list[ServerLoad] = []
         others: list[ServerLoad] = []
         for load in loads:
-            if not self._is_probe_worthwhile(dispatcher, load, len(chosen)):
+            if not any_connection and not self._is_probe_worthwhile(dispatcher, load, len(chosen)):
                 continue
             if len(chosen) < count and self._may_probe_unasked(dispatcher, load, now):
                 chosen.append(load)
