--- a/src/jasmineseam/node/quotas.py
+++ b/src/jasmineseam/node/quotas.py
@@ -64,12 +64,11 @@
     :param waiter: completes with the answer; shared with the request's other numbers.
     """
 
-    __slots__ = ("answered_by", "asked_at", "asked_wall", "number", "waiter")
+    __slots__ = ("answered_by", "asked_at", "asked_wall", "waiter")
 
     def __init__(
-        self, number: int, waiter: asyncio.Queue[QuotaGrant], asked_at: float, asked_wall: float
+        self, waiter: asyncio.Queue[QuotaGrant], asked_at: float, asked_wall: float
     ) -> None:
-        self.number = number
         self.waiter: asyncio.Queue[QuotaGrant] | None = waiter
         self.asked_at = asked_at
         self.asked_wall = asked_wall
@@ -344,7 +343,7 @@
         try:
             for timeout_s in ANSWER_TIMEOUTS_S:
                 number = next(self._numbers)
-                pending = _PendingRequest(number, waiter, self._clock(), self._wall_clock())
+                pending = _PendingRequest(waiter, self._clock(), self._wall_clock())
                 asked[number] = self._pending[number] = pending
                 wanted = tokens.compute_wanted() + tokens.waiting_count
                 for owner_id, tries in self._plan(account):
