--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,7 +15,7 @@
 from standins.configuration import build_route  # noqa: E402
 
 SERVICE = "fit"
-NODES = 3
+NODES = 4
 ROUNDS = 5
 # time from the start of a process to the SIGHUP, drawn anew each time
 HUP_AFTER_S = (0.0, 0.6)
@@ -34,7 +34,7 @@
     await lab.start_nodes(NODES)
     ends = dict.fromkeys((node.name for node in lab.nodes), 0)
     for _ in range(ROUNDS):
-        # one of three machines at a time gets SIGHUP
+        # one of four machines at a time gets SIGHUP
         for node in lab.nodes:
             node.send_signal(signal.SIGTERM)
             async with asyncio.timeout(GRACE_S):
