Review: a planned stop cuts off requests that instances ignore (case 3)

Cause: a node that is stopped waits for its running requests until 0.94 of the grace period, and then closes their connections without an answer. An instance that is full may never respond, so a request whose timeout is longer than that ends without an answer although no instance works on it.

The stand-in of an instance can ignore requests. The stand-in of a client reuses connections only within four fifths of the idle limit, and only while they are open.

--- a/review/lab.py
+++ b/review/lab.py
@@ -38,6 +38,8 @@
 EXIT_NOT_RUN = 2
 HOST_NAME = "fit.example"
 HEARTBEAT_S = 1.5
+# clients use idle connections for four fifths of the idle limit in standins/configuration.py
+MAX_IDLE_S = 12.0
 READY_TIMEOUT_S = 20.0
 # of the settings of a small deployment, as DEPLOY.md shows them
 SETTINGS = """
@@ -140,6 +142,9 @@
 
     ``extra_late`` is the probability with which an answer is sent a second time, at the point
     where the next answer on its connection is expected (a fault that the pages name).
+
+    A ``silent`` instance never responds to a request that it can't queue, nor to any further one
+    on that connection. ``ignored`` holds these requests.
     """
 
     def __init__(
@@ -154,6 +159,7 @@
         load_header: bool = True,
         zone: str = "z1",
         response_bytes: int = 500,
+        silent: bool = False,
     ) -> None:
         self.lab = lab
         self.instance_id = instance_id
@@ -165,6 +171,8 @@
         self.zone = zone
         self.response_bytes = response_bytes
         self.extra_late = 0.0
+        self.silent = silent
+        self.ignored: set[str] = set()
         self.leaving = False
         self.running = 0
         self.waiting = 0
@@ -289,6 +297,11 @@
             return self._build_health()
         if self.running >= self.slots and self.waiting >= self.max_queued:
             self.counts["rejected probe" if probe else "rejected"] += 1
+            if self.silent:
+                self.ignored.add(request_id)
+                self.lab.record.write(f"{self.instance_id} is full and ignores {request_id}")
+                await reader.read()
+                return None
             return self._build(503, request_id, b"", ["Jasmineseam-Not-Executed: 1"])
         gone = asyncio.ensure_future(reader.read(1))
         try:
@@ -488,9 +501,14 @@
         try:
             async with asyncio.timeout(deadline_s):
                 idle = self._idle[address]
-                if idle:
-                    connection = idle.pop()
-                else:
+                while idle:
+                    *connection, idle_since = idle.pop()
+                    is_open = not connection[0].at_eof() and connection[0].exception() is None
+                    if is_open and time.monotonic() - idle_since < MAX_IDLE_S:
+                        break
+                    connection[1].transport.abort()
+                    connection = None
+                if connection is None:
                     connection = await asyncio.open_connection(*address, limit=2**22)
                 reader, writer = connection
                 writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
@@ -504,13 +522,13 @@
         if answer.headers.get("connection", "").lower() == "close":
             writer.transport.abort()
         else:
-            idle.append(connection)
+            idle.append((reader, writer, time.monotonic()))
         return answer
 
     def close(self) -> None:
         """Close the record or the connections."""
         for idle in self._idle.values():
-            for _, writer in idle:
+            for _, writer, _ in idle:
                 writer.transport.abort()
 
 
