--- a/review/lab.py
+++ b/review/lab.py
@@ -359,6 +359,85 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+class StorePath:
+    """The path of one node to the store, as a TCP proxy that can be cut in both directions.
+
+    During a cut nothing passes. What was sent meanwhile arrives after the cut when TCP would
+    repeat it: the opening of a connection 1 s and 3 s after it was sent, data on an open one after
+    times that double from 0.2 s.
+    """
+
+    _OPENING_REPEATS_S = (1.0, 3.0, 7.0)
+    _DATA_REPEATS_S = (0.2, 0.6, 1.4, 3.0, 6.2, 12.6)
+
+    def __init__(self, store_address: str) -> None:
+        host, _, port = store_address.rpartition(":")
+        self._store = (host, int(port))
+        self._server: asyncio.Server | None = None
+        self._whole = asyncio.Event()
+        self._whole.set()
+        self._restored_at = float("-inf")
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> str:
+        """Start to listen; return the address."""
+        host = choose_loopback_address()
+        self._server = await asyncio.start_server(self._accept, host, 0)
+        return f"{host}:{self._server.sockets[0].getsockname()[1]}"
+
+    def cut(self) -> None:
+        """Let nothing pass from now on."""
+        self._whole.clear()
+
+    def restore(self) -> None:
+        """End the cut."""
+        self._restored_at = time.monotonic()
+        self._whole.set()
+
+    def stop(self) -> None:
+        """End what this object started."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _pass(self, repeats_s: tuple[float, ...]) -> None:
+        """Return when what is sent now arrives."""
+        if self._whole.is_set():
+            return
+        sent_at = time.monotonic()
+        await self._whole.wait()
+        for delay_s in repeats_s:
+            if sent_at + delay_s >= self._restored_at:
+                await asyncio.sleep(max(0.0, sent_at + delay_s - time.monotonic()))
+                return
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        store_writer = None
+        try:
+            await self._pass(self._OPENING_REPEATS_S)
+            store_reader, store_writer = await asyncio.open_connection(*self._store)
+            await asyncio.gather(
+                self._copy(reader, store_writer), self._copy(store_reader, writer)
+            )
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+            if store_writer is not None:
+                store_writer.transport.abort()
+
+    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(2**16):
+            await self._pass(self._DATA_REPEATS_S)
+            writer.write(data)
+            await writer.drain()
+        raise ConnectionResetError
+
+
 class Node:
     """A node process."""
 
@@ -369,11 +448,9 @@
         self.ports = ports
         self.process: asyncio.subprocess.Process | None = None
         self._log: t.Any = None
-        # address of the store in the settings of this node, and calls that have arrived there
+        # address of the store in the settings of this node, which leads through its path
         self.store_address = lab.store_address
-        self.store_calls = 0
-        # whether the process is stopped by SIGSTOP
-        self.stopped = False
+        self.store_path: StorePath | None = None
 
     @property
     def front(self) -> tuple[str, int]:
@@ -560,20 +637,13 @@
         self.prefix = f"{rng.getrandbits(40):010x}"
         # ids of the requests that may run at most once
         self.unsafe_ids: list[str] = []
+        self.paths: list[StorePath] = []
         self._runner: web.ServerRunner | None = None
-        self._nodes_by_store_port: dict[int, Node] = {}
-
-    async def _handle_store_call(self, request: web.BaseRequest) -> web.Response:
-        _, port = request.transport.get_extra_info("sockname")
-        node = self._nodes_by_store_port.get(port)
-        if node is not None and request.query.get("topic") == "keyed.servers":
-            node.store_calls += 1
-        return await self.store.handle(request)
 
     async def start_store(self) -> None:
         """Start the store on a free port."""
         self._runner = web.ServerRunner(
-            web.Server(self._handle_store_call, access_log=None), shutdown_timeout=0.5
+            web.Server(self.store.handle, access_log=None), shutdown_timeout=0.5
         )
         await self._runner.setup()
         host = choose_loopback_address()
@@ -609,12 +679,9 @@
         """Start nodes and wait until they are ready."""
         nodes = [self.add_node() for _ in range(count)]
         for node in nodes:
-            # The store has an address for each node, so that it can tell who calls.
-            host = choose_loopback_address()
-            (port,) = find_free_ports(host, 1)
-            await web.TCPSite(self._runner, host, port).start()
-            node.store_address = f"{host}:{port}"
-            self._nodes_by_store_port[port] = node
+            node.store_path = StorePath(self.store_address)
+            node.store_address = await node.store_path.start()
+            self.paths.append(node.store_path)
         for node in nodes:
             await node.start(bootstrap=True)
         await asyncio.gather(*(node.wait_ready() for node in nodes))
@@ -632,6 +699,8 @@
         await asyncio.gather(*(node.end() for node in self.nodes))
         for instance in self.instances:
             instance.stop()
+        for path in self.paths:
+            path.stop()
         if self._runner is not None:
             await self._runner.cleanup()
 
