--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,5 +1,7 @@
 """Experiments on the simulated fleet: repeatable results, variants and invalid constants."""
 
+import asyncio
+
 import msgspec
 import pytest
 
@@ -8,6 +10,7 @@
 from bench.lab import Experiment
 from bench.lab import Variant
 from bench.lab import run_variant
+from bench.virtual_time import run_in_virtual_time
 from jasmineseam.exceptions import SettingsError
 from jasmineseam.routing import reserved_slots
 
@@ -54,3 +57,22 @@
 def test_an_override_of_an_unknown_constant_is_rejected(path):
     with pytest.raises(SettingsError):
         run_variant(make_experiment(), Variant(name="wrong", constants={path: 1.0}))
+
+
+@pytest.mark.parametrize("delay_s", [6.7e-16, 1e-12])
+def test_virtual_time_passes_during_waits_below_its_resolution(delay_s):
+    """Guards against a clock that stands still, so that a task that waits again never ends."""
+
+    async def wait_until(due_at):
+        loop = asyncio.get_running_loop()
+        while loop.time() < due_at:
+            await asyncio.sleep(delay_s)
+            waits.append(loop.time())
+            assert len(waits) < 1000
+
+    async def scenario():
+        await asyncio.sleep(8.2)
+        await wait_until(asyncio.get_running_loop().time() + 1e-6)
+
+    waits = []
+    run_in_virtual_time(scenario)
