--- a/bench/virtual_time.py
+++ b/bench/virtual_time.py
@@ -9,6 +9,7 @@
 # A real clock advances by more than this during one turn of the event loop.
 MIN_TIMER_S = 1e-8
 
+
 class _VirtualTimeSelector(selectors.SelectSelector):
     """Returns from every wait at once and adds its timeout to the virtual time."""
 
