End the grace period after an isolation before removals bind the node

Cause: a node that alone was cut off from the store takes that for an outage of the store, and keeps servers without a listing for 2.5 s from its first successful read. That read came up to 2.5 s after the end of the cut: a read that hangs for 1.5 s, then a delay of 1 s.

Change: while the store does not answer, reads begin every 0.4 s and those before are continued. The start of the last read without an answer bounds the end of the cut, so that the grace period ends before the time (stability, now read from the settings) is over after which removals bind the node. Servers are dropped by a task of its own.

--- a/src/jasmineseam/fleet/store_watcher.py
+++ b/src/jasmineseam/fleet/store_watcher.py
@@ -21,9 +21,11 @@
 from ..exceptions import PlatformError
 from ..exceptions import RecordsTrimmedError
 from ..exceptions import StoreRestoredError
+from ..exceptions import StoreUnavailableError
 from ..membership.evacuations import EvacuationState
 from ..membership.registry import Departure
 from ..membership.registry import ServerChange
+from ..membership.registry import ServerListing
 from ..membership.registry import ServerRegistry
 from ..membership.store_position import StorePosition
 from ..peers.messages import ServersNotice
@@ -67,6 +69,17 @@
 # A node whose read fails leaves the reading to others for this time. The store may turn away just
 # some nodes.
 FAILED_READER_PAUSE_S = 10.0
+EXPIRY_INTERVAL_S = 0.1
+# interval of the reads while servers without a listing are kept, which may publish it again just
+# before they would be dropped
+KEPT_SERVERS_READ_INTERVAL_S = 0.2
+# While the store does not answer, the readers begin to read the server list at this interval, and
+# the other nodes that have to read it at the longer one. A read that waits is not cancelled for
+# the next one, since the store may only be slow.
+READER_RETRY_INTERVAL_S = 0.4
+RETRY_INTERVAL_S = 1.0
+# A read that takes longer than this began while the store was out of reach, or slow.
+USUAL_READ_TIME_S = 0.2
 _logger = logbook.Logger("store")
 
 
@@ -132,6 +145,8 @@
         self._servers_read_at = float("-inf")
         # position in the store up to which this node itself has read the server list
         self._cursor: StorePosition | None = None
+        # reads of the whole list that wait for the store, with their start
+        self._pending_reads: dict[asyncio.Task, float] = {}
         # departures of servers whose grace period is over, for the next changes to be published
         self._expired: list[Departure] = []
         self._unreachable_until = float("-inf")
@@ -210,6 +225,7 @@
                 await asyncio.sleep(min(delay_s, self._compute_role_check_s()))
                 continue
             try:
+                started_at = time.monotonic()
                 await self._read_servers(after_failure=backoff.failing)
                 await self._check_routing_table()
             except RecordsTrimmedError:
@@ -222,10 +238,17 @@
                 self._log_failure("servers", error, backoff)
                 self._unreachable_until = time.monotonic() + FAILED_READER_PAUSE_S
                 self._set_reachable(False)
-                await asyncio.sleep(backoff.record_failure())
+                delay_s = min(backoff.record_failure(), self._get_retry_interval_s())
+                await asyncio.sleep(max(0.0, started_at + delay_s - time.monotonic()))
                 continue
             self._log_recovery("servers", backoff)
 
+    async def expire_servers_forever(self) -> None:
+        """Drop servers as their grace period ends, until cancelled."""
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            self._expired += self._registry.expire_servers()
+
     async def watch_nodes(self, has_peers: t.Callable[[], bool]) -> None:
         """Register this node in the store if it is a contact, and read the other contacts.
 
@@ -301,7 +324,9 @@
             self._set_reachable(True)
         rank = self._get_rank()
         if rank is not None and rank < READER_COUNT:
-            return self._servers_read_at + READ_INTERVAL_S - now
+            keeps_servers = self._registry.keeps_servers()
+            interval_s = KEPT_SERVERS_READ_INTERVAL_S if keeps_servers else READ_INTERVAL_S
+            return self._servers_read_at + interval_s - now
         rank_delay_s = min(MAX_RANK_DELAY_S, READ_DELAY_PER_RANK_S * (rank or 0))
         if not self._registry.loaded:
             due_at = self._started_at + self._first_read_delay_s
@@ -332,10 +357,16 @@
             cursor = known
         # After a pause, all records since then are more than the whole list.
         recent = started_at - self._servers_read_at < MAX_READ_GAP_S
-        if cursor is None or not recent or cursor.timeline < self._timeline:
+        if after_failure or cursor is None or not recent or cursor.timeline < self._timeline:
             await self._read_all_servers(after_failure=after_failure)
             return
-        changes, end = await self._store.read_server_changes(cursor)
+        try:
+            changes, end = await self._store.read_server_changes(cursor)
+        except (RecordsTrimmedError, StoreRestoredError):
+            raise
+        except PlatformError:
+            registry.record_failed_read(started_at)
+            raise
         self._servers_read_at = time.monotonic()
         registry.mark_confirmed(self._servers_read_at - started_at, detect_outage=after_failure)
         effective = registry.record_changes(changes)
@@ -352,9 +383,8 @@
         self._publish_changes(positioned)
 
     async def _read_all_servers(self, *, after_failure: bool) -> None:
-        started_at = time.monotonic()
         registry = self._registry
-        listings, end = await self._store.read_servers()
+        (listings, end), started_at = await self._read_whole_list(after_failure=after_failure)
         self._servers_read_at = time.monotonic()
         self._record_timeline(end.timeline)
         self._cursor = end
@@ -380,6 +410,57 @@
             end.timeline,
         )
 
+    async def _read_whole_list(
+        self, *, after_failure: bool
+    ) -> tuple[tuple[list[ServerListing], StorePosition], float]:
+        """Begin to read the list, and return the first read that succeeds with its start.
+
+        After a failure, earlier reads may still wait for the store. They are continued, for at
+        most the interval at which reads are begun.
+
+        :raises StoreRestoredError: if the store is restored during a read.
+        :raises PlatformError: if no read has succeeded.
+        """
+        now = time.monotonic()
+        ends_at = now + self._get_retry_interval_s() if after_failure else math.inf
+        pending = self._pending_reads
+        if not after_failure:
+            _cancel_reads(pending)
+        read = asyncio.ensure_future(self._store.read_servers())
+        read.add_done_callback(_retrieve_exception)
+        pending[read] = now
+        error: PlatformError = StoreUnavailableError("servers", "no response yet")
+        while pending and now < ends_at:
+            timeout_s = ends_at - now if after_failure else None
+            done, _ = await asyncio.wait(
+                pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            now = time.monotonic()
+            for finished in done:
+                started_at = pending.pop(finished)
+                try:
+                    result = finished.result()
+                except StoreRestoredError:
+                    raise
+                except PlatformError as failure:
+                    self._registry.record_failed_read(started_at)
+                    error = failure
+                    continue
+                self._record_slow_reads([started_at, *pending.values()])
+                _cancel_reads(pending)
+                return result, started_at
+        self._record_slow_reads(pending.values())
+        raise error
+
+    def _record_slow_reads(self, starts: t.Iterable[float]) -> None:
+        now = time.monotonic()
+        for started_at in starts:
+            if now - started_at > USUAL_READ_TIME_S:
+                self._registry.record_failed_read(started_at)
+
+    def _get_retry_interval_s(self) -> float:
+        return READER_RETRY_INTERVAL_S if self.is_reader() else RETRY_INTERVAL_S
+
     def _publish_changes(self, positioned: list[tuple[StorePosition, ServerChange]]) -> None:
         """Spread changes that are already applied to the own list.
 
@@ -439,3 +520,15 @@
     def _log_recovery(self, resource: str, backoff: Backoff) -> None:
         if backoff.record_success():
             _logger.info("Access to {} in the store succeeds again.", resource)
+
+
+def _cancel_reads(pending: dict[asyncio.Task, float]) -> None:
+    for read in pending:
+        read.cancel()
+    pending.clear()
+
+
+def _retrieve_exception(read: asyncio.Task) -> None:
+    """Keep asyncio from logging the failure of a read that nobody waits for any more."""
+    if not read.cancelled():
+        read.exception()
--- a/src/jasmineseam/membership/registry.py
+++ b/src/jasmineseam/membership/registry.py
@@ -15,9 +15,12 @@
 from .store_position import UNKNOWN_POSITION
 from .store_position import StorePosition
 
-# after an outage of the store, servers whose listing has expired are kept for this time
+# After an outage of the store, servers whose listing has expired are kept for this time. They
+# publish it again within 2 s of the end of the outage.
 POST_OUTAGE_GRACE_S = 2.5
 MIN_OUTAGE_S = 1.0
+# The grace period of a node that was cut off ends this much before removals bind the node.
+GRACE_MARGIN_S = 0.2
 # A removed listing, or a report that a server is leaving, is remembered for this time, which is
 # longer than the age of any backup of the store.
 DEPARTURE_RETENTION_S = 300.0
@@ -104,9 +107,12 @@
 
     A listing that is removed shortly after an outage of the store may have expired only because
     heartbeats failed during the outage. Its server is therefore kept for a grace period, in which
-    it can publish its listing again.
+    it can publish its listing again. A node that was cut off from the store can't tell this from
+    an outage, so the grace period also ends before it is bound by removals again.
 
     :param clock: returns monotonic time in seconds.
+    :param reconnect_s: time after the end of a cut from the store from which this node is bound
+        by removals, in seconds.
     :param on_change: called when the set of servers that may receive new requests can have
         changed.
     """
@@ -117,8 +123,11 @@
         "_confirmed_at",
         "_departures",
         "_evacuated_services",
+        "_failed_read_at",
+        "_grace_ends_at",
+        "_kept_ids",
         "_on_change",
-        "_outage_ended_at",
+        "_reconnect_s",
         "_registered",
         "_stale_versions",
         "evacuated",
@@ -126,8 +135,15 @@
         "position",
     )
 
-    def __init__(self, *, clock, on_change: t.Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self,
+        *,
+        clock,
+        on_change: t.Callable[[], None] = lambda: None,
+        reconnect_s: float = 3.0,
+    ) -> None:
         self._clock = clock
+        self._reconnect_s = reconnect_s
         self._on_change = on_change
         self._registered: dict[str, RegisteredServer] = {}
         self._by_service: dict[str, list[RegisteredServer]] = {}
@@ -140,7 +156,11 @@
         # services that have servers in evacuated failure domains only
         self._evacuated_services: set[str] = set()
         self._confirmed_at = clock()
-        self._outage_ended_at = float("-inf")
+        # start of the last read of the store that failed
+        self._failed_read_at = float("-inf")
+        self._grace_ends_at = float("-inf")
+        # servers whose listing was removed and whose grace period is not over
+        self._kept_ids: set[str] = set()
         self.loaded = False
         self.position = UNKNOWN_POSITION
 
@@ -148,6 +168,13 @@
         """Return the time since the list was last confirmed to be up to date, in seconds."""
         return self._clock() - self._confirmed_at
 
+    def record_failed_read(self, started_at: float) -> None:
+        """Record that a read of the list from the store was not answered in time, or failed.
+
+        :param started_at: monotonic time at which the read began, in seconds.
+        """
+        self._failed_read_at = max(self._failed_read_at, started_at)
+
     def mark_confirmed(self, age_s: float = 0.0, *, detect_outage: bool = True) -> None:
         """Record that the list was up to date *age_s* seconds ago.
 
@@ -159,12 +186,16 @@
             return
         gap_s = confirmed_at - self._confirmed_at
         if detect_outage and self.loaded and gap_s > MIN_OUTAGE_S:
-            self._outage_ended_at = confirmed_at
+            self._grace_ends_at = self._clock() + POST_OUTAGE_GRACE_S
+            if self._failed_read_at > self._confirmed_at:
+                # A cut from the store can have ended as early as that read began.
+                bound_at = self._failed_read_at + self._reconnect_s
+                self._grace_ends_at = min(self._grace_ends_at, bound_at - GRACE_MARGIN_S)
         self._confirmed_at = confirmed_at
 
     def start_grace_period(self) -> None:
-        """Keep servers whose listing is removed from now on for a grace period."""
-        self._outage_ended_at = self._clock()
+        """Keep servers whose listing is removed from now on for a time, after a restore."""
+        self._grace_ends_at = self._clock() + POST_OUTAGE_GRACE_S
 
     def replace_listings(
         self, listings: list[ServerListing], position: StorePosition
@@ -264,6 +295,7 @@
         if registered is not None and departure.covers(registered.listing):
             if departure.sequence is not None:
                 del self._registered[departure.server_id]
+                self._kept_ids.discard(departure.server_id)
             self._rebuild_index()
         return True
 
@@ -304,8 +336,9 @@
         for server_id, (_, recorded_at) in list(self._departures.items()):
             if now - recorded_at > DEPARTURE_RETENTION_S and server_id not in self._registered:
                 del self._departures[server_id]
-        for server_id, registered in list(self._registered.items()):
-            if registered.removal_due_at is None or registered.removal_due_at > now:
+        for server_id in list(self._kept_ids):
+            registered = self._registered[server_id]
+            if registered.removal_due_at > now:
                 continue
             self._delete_server(server_id, registered)
             expired.append(self._departures[server_id][0])
@@ -313,6 +346,10 @@
             self._rebuild_index()
         return expired
 
+    def keeps_servers(self) -> bool:
+        """Return whether the grace period of a server whose listing was removed is not over."""
+        return bool(self._kept_ids)
+
     def get_server(self, server_id: str) -> RegisteredServer | None:
         """Return a server by its id, ``None`` if it is not listed."""
         return self._registered.get(server_id)
@@ -353,6 +390,7 @@
             or listing.slots != registered.listing.slots
             or registered.removal_due_at is not None
         )
+        self._kept_ids.discard(server_id)
         if restarted:
             self._registered[server_id] = RegisteredServer(listing=listing, now=now)
             return True
@@ -372,11 +410,10 @@
             if change.removed is not None:
                 self.add_departure(change.removed)
             return False
-        now = self._clock()
-        since_outage_s = now - self._outage_ended_at
-        if since_outage_s < POST_OUTAGE_GRACE_S and not registered.server.leaving:
+        if self._clock() < self._grace_ends_at and not registered.server.leaving:
             if registered.removal_due_at is None:
-                registered.removal_due_at = self._outage_ended_at + POST_OUTAGE_GRACE_S
+                registered.removal_due_at = self._grace_ends_at
+                self._kept_ids.add(server_id)
             return False
         self._delete_server(server_id, registered)
         if change.removed is not None:
@@ -385,6 +422,7 @@
 
     def _delete_server(self, server_id: str, registered: RegisteredServer) -> None:
         del self._registered[server_id]
+        self._kept_ids.discard(server_id)
         self._stale_versions.pop(server_id, None)
         listing = registered.listing
         self.add_departure(
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -116,7 +116,11 @@
         # restarts of background tasks after unexpected errors, by name of the task
         self.task_restarts: collections.Counter[str] = collections.Counter()
         self._listeners: HttpListeners | None = None
-        self.registry = ServerRegistry(clock=time.monotonic, on_change=self._handle_server_change)
+        self.registry = ServerRegistry(
+            clock=time.monotonic,
+            on_change=self._handle_server_change,
+            reconnect_s=settings.reconnect_s,
+        )
         self.request_log = RequestLog(write=output.write, lines_per_s=options.log_lines_per_s)
         self.gateway = Gateway(
             node_id=settings.vm.id,
@@ -272,6 +276,7 @@
         for run_forever in (
             self.store_watcher.watch_routing_table,
             self.store_watcher.watch_servers,
+            self.store_watcher.expire_servers_forever,
             self._watch_nodes,
             self.fleet.run_forever,
             self.quotas.run_forever,
--- a/src/jasmineseam/operations/node_settings.py
+++ b/src/jasmineseam/operations/node_settings.py
@@ -110,6 +110,8 @@
     :param configuration_s: time after which a routing table is in force at all nodes, in seconds.
     :param key_revocation_s: time after which a removed key of a client account is not accepted any
         more, in seconds; 0 if the platform sets none.
+    :param reconnect_s: time after the end of a cut from the store from which a node is bound by
+        the removals of servers, in seconds.
     :param fail_closed: whether a node that could not confirm its routing table for that time
         refuses requests that need a key.
     """
@@ -130,6 +132,7 @@
     configuration_s: float = 2.5
     key_revocation_s: float = 0.0
     fail_closed: bool = False
+    reconnect_s: float = 3.0
 
 
 class ProbeOptions(msgspec.Struct, kw_only=True, forbid_unknown_fields=True, frozen=True):
--- a/src/jasmineseam/platform/settings.py
+++ b/src/jasmineseam/platform/settings.py
@@ -76,6 +76,8 @@
         "quota_slack": "quota-slack",
         "configuration": "config-apply",
         "fail_closed": "fail-closed",
+        # time without a disruption after which a node is bound by the platform's rules
+        "reconnect": "stability",
     },
 ):
     grace: str
@@ -93,6 +95,7 @@
     configuration: str = "2.5s"
     revoke: str = "0ms"
     fail_closed: bool = False
+    reconnect: str = "3s"
 
 
 class _Terms(msgspec.Struct):
@@ -188,4 +191,5 @@
         configuration_s=parse_duration(bounds.configuration),
         key_revocation_s=parse_duration(bounds.revoke),
         fail_closed=bounds.fail_closed,
+        reconnect_s=parse_duration(bounds.reconnect),
     )
