Spread removals at once, and let each node decide on its grace period

Cause: a node that returned from a cut deferred removals and left them out of the changes that it spread, but spread the store's position behind them. Nodes that applied these changes never read the removal, and another reader continued behind it.

Change: removals are spread at their position. Each node judges whether there was an outage: after failed reads of its own, 3 s without confirmation of its list, or a restore. Kept servers are not listed to other nodes, and nothing is spread when they are dropped.

--- a/src/jasmineseam/fleet/state_sync.py
+++ b/src/jasmineseam/fleet/state_sync.py
@@ -194,7 +194,7 @@
             and position.timeline == registry.position.timeline
             and position <= registry.position
         ):
-            registry.mark_confirmed(digest.servers_age_ms / 1000, detect_outage=False)
+            registry.mark_confirmed(digest.servers_age_ms / 1000)
         if self._differs_in_evacuations(digest):
             self._announced = digest
             self._announced_at = time.monotonic()
@@ -350,7 +350,7 @@
         elif reply.servers is not None:
             self.apply_notice(reply.servers)
         if reply.servers_position == self._registry.position:
-            self._registry.mark_confirmed(reply.servers_age_s, detect_outage=False)
+            self._registry.mark_confirmed(reply.servers_age_s)
         # A limit of a server that is not listed would be forgotten by each node in turn, and
         # returned by the others.
         self._add_request_limits(
--- a/src/jasmineseam/fleet/store_watcher.py
+++ b/src/jasmineseam/fleet/store_watcher.py
@@ -23,7 +23,6 @@
 from ..exceptions import StoreRestoredError
 from ..exceptions import StoreUnavailableError
 from ..membership.evacuations import EvacuationState
-from ..membership.registry import Departure
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerListing
 from ..membership.registry import ServerRegistry
@@ -147,8 +146,6 @@
         self._cursor: StorePosition | None = None
         # reads of the whole list that wait for the store, with their start
         self._pending_reads: dict[asyncio.Task, float] = {}
-        # departures of servers whose grace period is over, for the next changes to be published
-        self._expired: list[Departure] = []
         self._unreachable_until = float("-inf")
         # latest timeline of the store that this node has seen
         self._timeline = -1
@@ -219,14 +216,20 @@
         """Read the server list whenever it is the task of this node, until cancelled."""
         backoff = Backoff()
         while True:
-            self._expired += self._registry.expire_servers()
             delay_s = self._compute_read_delay_s()
             if delay_s > 0.0:
                 await asyncio.sleep(min(delay_s, self._compute_role_check_s()))
                 continue
             try:
                 started_at = time.monotonic()
+                kept_count = self._registry.count_kept()
                 await self._read_servers(after_failure=backoff.failing)
+                if self._registry.count_kept() > kept_count:
+                    _logger.info(
+                        "Keeping {} servers whose listing may have expired in an outage of the "
+                        "store; each is dropped unless it publishes its listing again.",
+                        self._registry.count_kept(),
+                    )
                 await self._check_routing_table()
             except RecordsTrimmedError:
                 self._cursor = None
@@ -247,7 +250,12 @@
         """Drop servers as their grace period ends, until cancelled."""
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
-            self._expired += self._registry.expire_servers()
+            expired = self._registry.expire_servers()
+            if expired:
+                _logger.info(
+                    "Servers {} have not published their listing again; they get no new requests.",
+                    ", ".join(expired),
+                )
 
     async def watch_nodes(self, has_peers: t.Callable[[], bool]) -> None:
         """Register this node in the store if it is a contact, and read the other contacts.
@@ -324,7 +332,7 @@
             self._set_reachable(True)
         rank = self._get_rank()
         if rank is not None and rank < READER_COUNT:
-            keeps_servers = self._registry.keeps_servers()
+            keeps_servers = self._registry.count_kept() > 0
             interval_s = KEPT_SERVERS_READ_INTERVAL_S if keeps_servers else READ_INTERVAL_S
             return self._servers_read_at + interval_s - now
         rank_delay_s = min(MAX_RANK_DELAY_S, READ_DELAY_PER_RANK_S * (rank or 0))
@@ -368,7 +376,7 @@
             registry.record_failed_read(started_at)
             raise
         self._servers_read_at = time.monotonic()
-        registry.mark_confirmed(self._servers_read_at - started_at, detect_outage=after_failure)
+        registry.mark_confirmed(self._servers_read_at - started_at)
         effective = registry.record_changes(changes)
         self._cursor = end
         # All readers assign the same position to a change, however their reads divide the topic.
@@ -376,10 +384,6 @@
             (StorePosition(cursor.timeline, cursor.offset + index + 1), changes[index])
             for index in effective
         ]
-        positioned += [
-            (end, ServerChange(server_id=departure.server_id)) for departure in self._expired
-        ]
-        self._expired.clear()
         self._publish_changes(positioned)
 
     async def _read_all_servers(self, *, after_failure: bool) -> None:
@@ -390,10 +394,7 @@
         self._cursor = end
         if end < registry.position:
             return
-        registry.mark_confirmed(self._servers_read_at - started_at, detect_outage=after_failure)
-        if registry.loaded and end.timeline > registry.position.timeline:
-            # The backup may lack servers that are not recorded again yet.
-            registry.start_grace_period()
+        registry.mark_confirmed(self._servers_read_at - started_at)
         if not registry.loaded:
             registry.replace_listings(listings, end)
         else:
--- a/src/jasmineseam/membership/registry.py
+++ b/src/jasmineseam/membership/registry.py
@@ -19,6 +19,9 @@
 # publish it again within 2 s of the end of the outage.
 POST_OUTAGE_GRACE_S = 2.5
 MIN_OUTAGE_S = 1.0
+# Without a failed read of its own, a node takes a longer time without confirmation for an outage.
+# In a shorter outage, no listing expires.
+MIN_UNCONFIRMED_S = 3.0
 # The grace period of a node that was cut off ends this much before removals bind the node.
 GRACE_MARGIN_S = 0.2
 # A removed listing, or a report that a server is leaving, is remembered for this time, which is
@@ -108,7 +111,8 @@
     A listing that is removed shortly after an outage of the store may have expired only because
     heartbeats failed during the outage. Its server is therefore kept for a grace period, in which
     it can publish its listing again. A node that was cut off from the store can't tell this from
-    an outage, so the grace period also ends before it is bound by removals again.
+    an outage, so the grace period also ends before it is bound by removals again. Each node judges
+    this for itself: a removal is spread at once, and a kept server is not listed to other nodes.
 
     :param clock: returns monotonic time in seconds.
     :param reconnect_s: time after the end of a cut from the store from which this node is bound
@@ -125,7 +129,7 @@
         "_evacuated_services",
         "_failed_read_at",
         "_grace_ends_at",
-        "_kept_ids",
+        "_kept",
         "_on_change",
         "_reconnect_s",
         "_registered",
@@ -159,8 +163,9 @@
         # start of the last read of the store that failed
         self._failed_read_at = float("-inf")
         self._grace_ends_at = float("-inf")
-        # servers whose listing was removed and whose grace period is not over
-        self._kept_ids: set[str] = set()
+        # the departures, if known, of servers whose listing was removed and whose grace period is
+        # not over
+        self._kept: dict[str, Departure | None] = {}
         self.loaded = False
         self.position = UNKNOWN_POSITION
 
@@ -175,24 +180,26 @@
         """
         self._failed_read_at = max(self._failed_read_at, started_at)
 
-    def mark_confirmed(self, age_s: float = 0.0, *, detect_outage: bool = True) -> None:
-        """Record that the list was up to date *age_s* seconds ago.
-
-        :param detect_outage: whether a gap of more than :data:`MIN_OUTAGE_S` since the last
-            confirmation counts as an outage of the store.
-        """
+    def mark_confirmed(self, age_s: float = 0.0) -> None:
+        """Record that the list was up to date *age_s* seconds ago."""
         confirmed_at = self._clock() - age_s
         if confirmed_at <= self._confirmed_at:
             return
-        gap_s = confirmed_at - self._confirmed_at
-        if detect_outage and self.loaded and gap_s > MIN_OUTAGE_S:
-            self._grace_ends_at = self._clock() + POST_OUTAGE_GRACE_S
-            if self._failed_read_at > self._confirmed_at:
-                # A cut from the store can have ended as early as that read began.
-                bound_at = self._failed_read_at + self._reconnect_s
-                self._grace_ends_at = min(self._grace_ends_at, bound_at - GRACE_MARGIN_S)
+        self._detect_outage(confirmed_at)
         self._confirmed_at = confirmed_at
 
+    def _detect_outage(self, confirmed_at: float) -> None:
+        """Begin a grace period if the list was not confirmed for long before a time."""
+        gap_s = confirmed_at - self._confirmed_at
+        failed = self._failed_read_at > self._confirmed_at
+        if not self.loaded or gap_s <= (MIN_OUTAGE_S if failed else MIN_UNCONFIRMED_S):
+            return
+        self._grace_ends_at = self._clock() + POST_OUTAGE_GRACE_S
+        if failed:
+            # A cut from the store can have ended as early as that read began.
+            bound_at = self._failed_read_at + self._reconnect_s
+            self._grace_ends_at = min(self._grace_ends_at, bound_at - GRACE_MARGIN_S)
+
     def start_grace_period(self) -> None:
         """Keep servers whose listing is removed from now on for a time, after a restore."""
         self._grace_ends_at = self._clock() + POST_OUTAGE_GRACE_S
@@ -207,6 +214,7 @@
         """
         if position < self.position:
             return []
+        self._detect_restore(position)
         listed_ids = {listing.server.server_id for listing in listings}
         changes = [
             ServerChange(server_id=server_id)
@@ -235,10 +243,16 @@
         """
         if not self.loaded or begin > self.position or end <= self.position:
             return False
+        self._detect_restore(end)
         self.record_changes(changes)
         self.position = end
         return True
 
+    def _detect_restore(self, position: StorePosition) -> None:
+        """Begin a grace period if the store was restored from a backup, which may lack servers."""
+        if self.loaded and position.timeline > self.position.timeline:
+            self.start_grace_period()
+
     def record_changes(self, changes: list[ServerChange]) -> list[int]:
         """Apply changes without a new position.
 
@@ -295,7 +309,7 @@
         if registered is not None and departure.covers(registered.listing):
             if departure.sequence is not None:
                 del self._registered[departure.server_id]
-                self._kept_ids.discard(departure.server_id)
+                self._kept.pop(departure.server_id, None)
             self._rebuild_index()
         return True
 
@@ -310,7 +324,13 @@
         return combined
 
     def get_departure(self, server_id: str) -> Departure | None:
-        """Return the newest departure of a server, ``None`` if there is none."""
+        """Return the newest departure of a server, ``None`` if there is none.
+
+        A server that is kept departs with the version of its listing that was removed.
+        """
+        registered = self._registered.get(server_id)
+        if registered is not None and server_id in self._kept:
+            return _build_departure(registered.listing)
         recorded = self._departures.get(server_id)
         return None if recorded is None else recorded[0]
 
@@ -323,32 +343,34 @@
             if recorded_at >= oldest
         ]
 
-    def expire_servers(self) -> list[Departure]:
+    def expire_servers(self) -> list[str]:
         """Drop the servers whose listing was removed and whose grace period is over.
 
         Departures are dropped after :data:`DEPARTURE_RETENTION_S`, unless the server is still
         listed.
 
-        :returns: the departures of the dropped servers.
+        :returns: the ids of the dropped servers.
         """
         now = self._clock()
         expired = []
         for server_id, (_, recorded_at) in list(self._departures.items()):
             if now - recorded_at > DEPARTURE_RETENTION_S and server_id not in self._registered:
                 del self._departures[server_id]
-        for server_id in list(self._kept_ids):
+        for server_id, removed in list(self._kept.items()):
             registered = self._registered[server_id]
             if registered.removal_due_at > now:
                 continue
             self._delete_server(server_id, registered)
-            expired.append(self._departures[server_id][0])
+            if removed is not None:
+                self.add_departure(removed)
+            expired.append(server_id)
         if expired:
             self._rebuild_index()
         return expired
 
-    def keeps_servers(self) -> bool:
-        """Return whether the grace period of a server whose listing was removed is not over."""
-        return bool(self._kept_ids)
+    def count_kept(self) -> int:
+        """Return the number of servers whose listing was removed but that may still be used."""
+        return len(self._kept)
 
     def get_server(self, server_id: str) -> RegisteredServer | None:
         """Return a server by its id, ``None`` if it is not listed."""
@@ -359,11 +381,19 @@
         return self._by_service.get(service, [])
 
     def list_listings(self) -> list[ServerListing]:
-        """Return the newest listings of all servers."""
-        return [registered.listing for registered in self._registered.values()]
+        """Return the newest listings of all servers that are listed in the store."""
+        return [
+            registered.listing
+            for server_id, registered in self._registered.items()
+            if server_id not in self._kept
+        ]
+
+    def list_addresses(self) -> set[str]:
+        """Return the addresses of all servers, including those that are kept."""
+        return {registered.server.address for registered in self._registered.values()}
 
     def list_ids(self) -> t.KeysView[str]:
-        """Return the ids of all listed servers."""
+        """Return the ids of all servers, including those that are kept."""
         return self._registered.keys()
 
     def count_usable(self) -> int:
@@ -390,7 +420,7 @@
             or listing.slots != registered.listing.slots
             or registered.removal_due_at is not None
         )
-        self._kept_ids.discard(server_id)
+        self._kept.pop(server_id, None)
         if restarted:
             self._registered[server_id] = RegisteredServer(listing=listing, now=now)
             return True
@@ -410,11 +440,15 @@
             if change.removed is not None:
                 self.add_departure(change.removed)
             return False
-        if self._clock() < self._grace_ends_at and not registered.server.leaving:
-            if registered.removal_due_at is None:
-                registered.removal_due_at = self._grace_ends_at
-                self._kept_ids.add(server_id)
+        if server_id in self._kept:
             return False
+        now = self._clock()
+        if now >= self._grace_ends_at:
+            self._detect_outage(now)
+        if now < self._grace_ends_at and not registered.server.leaving:
+            registered.removal_due_at = self._grace_ends_at
+            self._kept[server_id] = change.removed
+            return True
         self._delete_server(server_id, registered)
         if change.removed is not None:
             self.add_departure(change.removed)
@@ -422,14 +456,9 @@
 
     def _delete_server(self, server_id: str, registered: RegisteredServer) -> None:
         del self._registered[server_id]
-        self._kept_ids.discard(server_id)
+        self._kept.pop(server_id, None)
         self._stale_versions.pop(server_id, None)
-        listing = registered.listing
-        self.add_departure(
-            Departure(
-                server_id=server_id, started_ms=listing.started_ms, sequence=listing.sequence
-            )
-        )
+        self.add_departure(_build_departure(registered.listing))
 
     def _rebuild_index(self) -> None:
         by_service: dict[str, list[RegisteredServer]] = {}
@@ -454,6 +483,14 @@
         self._on_change()
 
 
+def _build_departure(listing: ServerListing) -> Departure:
+    return Departure(
+        server_id=listing.server.server_id,
+        started_ms=listing.started_ms,
+        sequence=listing.sequence,
+    )
+
+
 def _get_departure_order(departure: Departure) -> tuple[int, float]:
     sequence = float("inf") if departure.sequence is None else departure.sequence
     return departure.started_ms, sequence
--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -554,8 +554,7 @@
             self.gateway.dispatchers.expire_borrowed()
             self.gateway.request_limits.expire(self.registry.list_ids())
             self.gateway.attempts.quarantine.expire()
-            addresses = {listing.server.address for listing in self.registry.list_listings()}
-            self.gateway.connections.expire_connections(addresses)
+            self.gateway.connections.expire_connections(self.registry.list_addresses())
             self._listeners.enforce_limits(self.gateway.caller_limits)
 
     def _build_listeners(self) -> HttpListeners:
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -70,8 +70,8 @@
             own_record=NodeRecord(vm_id="vm", peer_address="127.0.0.1:1"),
         )
 
-    def read(self):
-        asyncio.run(self.watcher._read_servers(after_failure=False))
+    def read(self, *, after_failure=False):
+        asyncio.run(self.watcher._read_servers(after_failure=after_failure))
 
     def take_notices(self):
         notices = list(self.notices)
@@ -166,6 +166,124 @@
     assert notice.changes[0].removed.sequence == 4
 
 
+def list_usable(registry):
+    return sorted(registered.server.server_id for registered in registry.list_usable("fit"))
+
+
+def play_removal_after_cut(clock, change_between, other_reads_first):
+    """Let a reader that was cut off read a removal, and spread what it has read.
+
+    Another reader and a node that reads nothing were not cut off.
+    """
+    store = ScriptedStore()
+    for name in ("a", "b"):
+        store.append(name, make_listing(name, 0))
+    cut_off, reader = Reader(store, clock), Reader(store, clock)
+    for other in (cut_off, reader):
+        other.read()
+        other.take_notices()
+    follower = ServerRegistry(clock=clock)
+    follower.replace_listings(reader.registry.list_listings(), StorePosition(1, 2))
+    for _ in range(10):
+        clock.now += 0.5
+        for registry in (reader.registry, follower):
+            registry.mark_confirmed()
+    cut_off.registry.record_failed_read(clock.now - 0.3)
+    store.append("a", None)
+    if change_between:
+        store.append("b", make_listing("b", 1, leaving=True))
+    if other_reads_first:
+        reader.read()
+    cut_off.read(after_failure=True)
+    assert "a" in list_usable(cut_off.registry)
+    for notice in cut_off.take_notices() + reader.take_notices():
+        for registry in (reader.registry, follower):
+            registry.apply_changes(notice.changes, notice.begin, notice.end)
+    return cut_off, reader, follower
+
+
+@pytest.mark.parametrize("other_reads_first", [False, True])
+@pytest.mark.parametrize("change_between", [False, True])
+def test_removal_that_a_reader_defers_is_not_lost_at_other_nodes(
+    clock, change_between, other_reads_first
+):
+    """Guards against a position that is spread without a removal before it.
+
+    The reader that was cut off keeps the server for a time. To other nodes it must not tell that
+    they know the list up to a change behind the removal, since they would never read it then.
+    """
+    cut_off, reader, follower = play_removal_after_cut(clock, change_between, other_reads_first)
+    clock.now += 0.5
+    reader.read()
+    for notice in reader.take_notices():
+        follower.apply_changes(notice.changes, notice.begin, notice.end)
+    for registry in (reader.registry, follower):
+        assert "a" not in list_usable(registry)
+    clock.now += 2.5
+    cut_off.registry.expire_servers()
+    assert "a" not in list_usable(cut_off.registry)
+
+
+def test_deferred_removal_does_not_end_a_server_that_has_come_back(clock):
+    """Guards against a removal that is spread later, after the server has published itself."""
+    cut_off, reader, follower = play_removal_after_cut(clock, True, True)
+    store = reader.watcher._store
+    clock.now += 2.6
+    cut_off.registry.expire_servers()
+    store.append("a", make_listing("a", 1))
+    for other in (reader, cut_off):
+        other.read()
+        for notice in other.take_notices():
+            for registry in (cut_off.registry, reader.registry, follower):
+                registry.apply_changes(notice.changes, notice.begin, notice.end)
+    for registry in (cut_off.registry, reader.registry, follower):
+        assert "a" in list_usable(registry)
+
+
+@pytest.mark.parametrize("joins", [False, True])
+def test_node_that_gets_its_list_from_a_reader_with_a_deferred_removal(clock, joins):
+    """Guards against a server that stays in the list of a node which gets a whole list."""
+    cut_off, _, follower = play_removal_after_cut(clock, True, False)
+    registry = ServerRegistry(clock=clock) if joins else follower
+    if not joins:
+        registry.position = StorePosition(1, 2)
+    registry.replace_listings(cut_off.registry.list_listings(), cut_off.registry.position)
+    clock.now += 2.6
+    registry.expire_servers()
+    assert "a" not in list_usable(registry)
+
+
+def test_nodes_that_read_nothing_keep_servers_after_an_outage(clock):
+    """Guards against removals of expired listings that are in force at once at other nodes."""
+    store = ScriptedStore()
+    store.append("a", make_listing("a", 0))
+    reader = Reader(store, clock)
+    reader.read()
+    reader.take_notices()
+    follower = ServerRegistry(clock=clock)
+    follower.replace_listings(reader.registry.list_listings(), StorePosition(1, 1))
+    clock.now += 5.0
+    reader.registry.record_failed_read(clock.now - 0.3)
+    store.append("a", None)
+    reader.read(after_failure=True)
+    for notice in reader.take_notices():
+        follower.apply_changes(notice.changes, notice.begin, notice.end)
+    follower.mark_confirmed()
+    for _ in range(20):
+        clock.now += 0.1
+        reader.registry.expire_servers()
+        follower.expire_servers()
+        assert list_usable(reader.registry) == list_usable(follower) == ["a"]
+    store.append("a", make_listing("a", 1))
+    reader.read()
+    for notice in reader.take_notices():
+        follower.apply_changes(notice.changes, notice.begin, notice.end)
+    clock.now += 5.0
+    for registry in (reader.registry, follower):
+        registry.expire_servers()
+        assert list_usable(registry) == ["a"]
+
+
 def test_many_changes_are_divided_at_their_own_positions(clock):
     store = ScriptedStore()
     for number in range(10):
