Drop responses whose head holds the status line of another one

Cause: a server sends a second copy of an earlier success in part, breaking off in the reason phrase or in the value of a header. The status line of the failure that follows continues that line, so that the parser returns one head with the status of the copy and the id, signature and body of the failure.

Change: such a head is no response. The connection is closed and the outcome is unknown. The stand-alone entry has the same check.

--- a/src/jasmineseam/programs/attempt_sender.py
+++ b/src/jasmineseam/programs/attempt_sender.py
@@ -28,6 +28,7 @@
 from ..requests.outcome import CallerResponse
 from ..routing.backends import Backend
 from ..routing.pool import ServerPool
+from ..transport.response_heads import holds_status_line
 
 MAX_CONNECTIONS_PER_SERVER = 40
 IDLE_CONNECTION_TIMEOUT_S = 15.0
@@ -214,6 +215,9 @@
         attempt_number: str,
     ) -> None:
         headers = response.headers
+        if holds_status_line(response.reason, response.raw_headers):
+            self.dropped_responses["heads-merged"] += 1
+            raise AttemptOutcomeUnknownError("heads-merged")
         echoed = headers.get(ATTEMPT_HEADER)
         if echoed is not None and echoed != attempt_number:
             # the response belongs to another attempt
--- a/src/jasmineseam/transport/server_connection.py
+++ b/src/jasmineseam/transport/server_connection.py
@@ -23,6 +23,7 @@
 from ..exceptions import AttemptNotRunError
 from ..exceptions import AttemptOutcomeUnknownError
 from .keepalive import enable_keepalive
+from .response_heads import holds_status_line
 from .response_memory import ResponseMemory
 
 # size of the largest response head expected from servers; aiohttp's parser limits each line and
@@ -192,13 +193,15 @@
 
         :param decode: decodes status and headers; returns ``None`` for other responses.
         :raises AttemptOutcomeUnknownError: if the connection breaks before the response arrives,
-            or receives invalid data.
+            or receives invalid data, or two responses seem to be one.
         """
         while True:
             try:
                 message, payload = await self._protocol.read()
             except _TRANSPORT_ERRORS as error:
                 raise AttemptOutcomeUnknownError("no-response") from error
+            if holds_status_line(message.reason, message.raw_headers):
+                raise AttemptOutcomeUnknownError("heads-merged")
             if 100 <= message.code < 200:
                 continue
             head = decode(message.code, message.headers)
--- a/tests/test_entry_proxy.py
+++ b/tests/test_entry_proxy.py
@@ -57,6 +57,18 @@
     return web.Response(body=b"other's", headers={"Jasmineseam-Attempt": f"{number}0"})
 
 
+async def merge_heads(request):
+    """Send the start of a success, broken off in a header, and then a failure."""
+    number = request.headers["Jasmineseam-Attempt"]
+    request.transport.write(
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/plHTTP/1.1 500 Failed\r\n"
+        b"Jasmineseam-Attempt: " + number.encode() + b"\r\nContent-Length: 4\r\n\r\nfail"
+    )
+    await asyncio.sleep(0.2)
+    request.transport.abort()
+    return web.Response()
+
+
 def refuse(reason):
     async def step(request):
         return web.Response(status=503, headers={"Backend-Refusal": reason})
@@ -96,6 +108,8 @@
         (truncate, "POST", "unknown", 502, 1),
         (drop, "POST", "unknown", 502, 1),
         (echo_wrong_attempt, "POST", "unknown", 502, 1),
+        (merge_heads, "GET", "answered", 200, 2),
+        (merge_heads, "POST", "unknown", 502, 1),
         (fail, "POST", "answered", 500, 1),
         (refuse("shed"), "POST", "answered", 200, 2),
         (refuse("draining"), "POST", "answered", 200, 2),
