Reuse no connection on which a rejection without an id may be repeated

Cause: a rejection without a request id was taken for that of the request that waited. Health checks have no id and share the connections, so that a second copy of an earlier rejection was the answer to the next request. A copy of a health check's answer could also leave the true one, a rejection, behind.

Change: a connection is closed after a rejection without an id, and, if the server does not report its load, after its second health check.

--- a/src/jasmineseam/node/load_prober.py
+++ b/src/jasmineseam/node/load_prober.py
@@ -29,6 +29,7 @@
 from ..routing.saved_probes import SavedProbes
 from ..transport.connection_pool import PURPOSE_PROBE
 from ..transport.response_memory import ResponseMemory
+from ..transport.server_connection import ServerConnection
 from .gateway import Gateway
 from .probe_grants import ProbeGrants
 
@@ -397,6 +398,7 @@
         try:
             self.sent_count += 1
             sent_at = time.monotonic()
+            connection.probe_count += 1
             await connection.send("GET", service.health_path, headers, b"")
             exchange = await connection.receive_head(self._decode_probe_head)
             observed_at = time.monotonic()
@@ -409,7 +411,7 @@
                 exchange, MAX_PROBE_BODY_BYTES, self._response_memory
             )
         finally:
-            if complete:
+            if complete and not _may_repeat_rejection(connection, head):
                 connections.release(load.address, connection)
             else:
                 connection.close()
@@ -430,3 +432,13 @@
         # A response with a request id belongs to an earlier request on this connection; None makes
         # the connection skip it.
         return None if head.request_id else head
+
+
+def _may_repeat_rejection(connection: ServerConnection, head: ResponseHead) -> bool:
+    """Return whether a rejection of a probe may arrive in place of the response to a request.
+
+    It has no id that tells it from the rejection of that request. A server that does not report
+    its load may reject probes, and the response to a second probe can be a copy of that to the
+    first, with the true one still to come.
+    """
+    return head.not_run or (head.report is None and connection.probe_count > 1)
--- a/src/jasmineseam/node/server_client.py
+++ b/src/jasmineseam/node/server_client.py
@@ -130,7 +130,12 @@
             proxied.reached_server_ids.add(load.server_id)
             response = await self._send_and_receive(proxied, load, connection)
         finally:
-            if response is None or _may_have_unread_body(proxied, response):
+            if (
+                response is None
+                or _may_have_unread_body(proxied, response)
+                # A copy of it could not be told from the response to a later request.
+                or not response.head.request_id
+            ):
                 connection.close()
             else:
                 self.connections.release(load.address, connection)
@@ -161,11 +166,10 @@
         # Returns None for a response to an earlier request; the connection skips that response.
         def decode_head(status: int, response_headers: t.Any) -> ResponseHead | None:
             head = self._header_codec.decode_response(status, response_headers)
+            if head.request_id or not request_id:
+                return head if head.request_id == request_id else None
             # A server may reject a request before it has read the request id.
-            rejected_without_id = head.not_run and not head.request_id
-            if request_id and head.request_id != request_id and not rejected_without_id:
-                return None
-            return head
+            return head if head.not_run else None
 
         exchange = await connection.receive_head(decode_head)
         observed_at = time.monotonic()
--- a/src/jasmineseam/transport/response_heads.py
+++ b/src/jasmineseam/transport/response_heads.py
@@ -24,7 +24,4 @@
     """
     if reason and "HTTP/1." in reason and _STATUS_LINE.search(reason.encode("utf-8", "replace")):
         return True
-    for _, value in raw_headers:
-        if b"HTTP/1." in value and _STATUS_LINE.search(value):
-            return True
-    return False
+    return any(b"HTTP/1." in value and _STATUS_LINE.search(value) for _, value in raw_headers)
--- a/src/jasmineseam/transport/server_connection.py
+++ b/src/jasmineseam/transport/server_connection.py
@@ -141,6 +141,7 @@
         "_upload",
         "idle_limit_s",
         "last_used_at",
+        "probe_count",
         "request_count",
         "reused",
     )
@@ -153,6 +154,8 @@
         self._sent_large_body = False
         # sends the rest of a large body
         self._upload: asyncio.Task | None = None
+        # number of probes, whose responses have no request id
+        self.probe_count = 0
         # whether the connection was opened before its current use
         self.reused = False
 
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -42,6 +42,8 @@
         ``reset``, ``lost``: the connection is reset or closed instead of a response.
         ``mute``: the response is delayed by 30 s.
         ``extra``, ``late-extra``: the response is sent twice, at once or after 20 ms.
+        ``repeated-refusal``: before the response, the last rejection on the connection is sent
+        once more.
         ``unframed``: no Content-Length header; the end of the connection ends the body.
         ``unframed-reset``: as ``unframed``, with a reset in the middle of the body.
         ``unsigned``: no signature header.
@@ -56,6 +58,8 @@
     :param fault_count: how many of the next responses are faulty, -1 for all.
     :param silent_when_full: sends no response where it would reject a request.
     :param healthy: whether health checks succeed.
+    :param rejects_probes: whether health checks are rejected, as by an instance that is full.
+    :param reports_load: whether responses report the load.
     """
 
     work_s: float = 0.005
@@ -65,6 +69,8 @@
     fault_count: int = -1
     silent_when_full: bool = False
     healthy: bool = True
+    rejects_probes: bool = False
+    reports_load: bool = True
     raw_response: bytes = b""
     leaving: bool = False
     retry_after_s: float = 0.0
@@ -120,6 +126,8 @@
         self._free_slots = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # the last rejection that was sent on each open connection
+        self._rejections: dict[asyncio.StreamWriter, bytes] = {}
         self._sequence = 0
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
@@ -180,6 +188,7 @@
             pass
         finally:
             self._writers.discard(writer)
+            self._rejections.pop(writer, None)
             writer.transport.abort()
 
     async def _serve_request(
@@ -195,6 +204,9 @@
         body = await reader.readexactly(int(headers.get("content-length", "0")))
         if path == "/healthz":
             self.probe_times.append(time.monotonic())
+            if self.behaviour.rejects_probes:
+                self._reject(writer, 503, ["Jasmineseam-Not-Executed: 1"])
+                return True
             status = 200 if self.behaviour.healthy else 503
             id_header = [f"Jasmineseam-Instance-Id: {self.instance_id}"]
             if self.is_cold():
@@ -209,7 +221,7 @@
         expected_id = headers.get("jasmineseam-expect-instance", self.instance_id)
         if expected_id != self.instance_id:
             id_header = [f"Jasmineseam-Instance-Id: {self.instance_id}"]
-            writer.write(self._build_response(421, id_header, b"", signed=False))
+            self._reject(writer, 421, id_header)
             return True
         self.on_arrival(headers)
         if self.behaviour.retry_after_s:
@@ -218,15 +230,13 @@
                 f"Retry-After: {self.behaviour.retry_after_s:g}",
             ]
             self.rejection_times.append(time.monotonic())
-            writer.write(self._build_response(503, headers_sent, b"", signed=False))
+            self._reject(writer, 503, headers_sent)
             return True
         if self.running >= self.slots and self.waiting >= self.max_queued:
             if self.behaviour.silent_when_full:
                 await reader.read(-1)
                 return False
-            writer.write(
-                self._build_response(503, ["Jasmineseam-Not-Executed: 1"], b"", signed=False)
-            )
+            self._reject(writer, 503, ["Jasmineseam-Not-Executed: 1"])
             return True
         request_id = headers.get("jasmineseam-request-id", "")
         if path == self.behaviour.crash_path:
@@ -235,6 +245,11 @@
             return False
         return await self._run_request(reader, writer, headers)
 
+    def _reject(self, writer: asyncio.StreamWriter, status: int, headers: list[str]) -> None:
+        response = self._build_response(status, headers, b"", signed=False)
+        self._rejections[writer] = response
+        writer.write(response)
+
     async def _run_request(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, headers: dict[str, str]
     ) -> bool:
@@ -248,6 +263,8 @@
         try:
             self.run_counts[request_id] += 1
             self.on_run(headers)
+            if self.behaviour.fault == "repeated-refusal":
+                writer.write(self._rejections.get(writer, b""))
             work_task = asyncio.ensure_future(self._simulate_processing())
             # completes when the client closes the connection; the request is then cancelled
             read_task = asyncio.ensure_future(reader.read(1))
@@ -367,7 +384,8 @@
     ) -> bytes:
         lines = [f"HTTP/1.1 {status} Stand-in", *headers]
         load = f"{self.running},{self.waiting},{self.slots},{self.behaviour.slowness_pct}"
-        lines.append(f"Jasmineseam-Instance-Load: {load}")
+        if self.behaviour.reports_load:
+            lines.append(f"Jasmineseam-Instance-Load: {load}")
         if self.behaviour.leaving:
             lines.append("Server-Leaving: 1")
         if self.behaviour.request_limit_per_s is not None:
