--- a/tests/node_simulation.py
+++ b/tests/node_simulation.py
@@ -296,6 +296,7 @@
         self._request = None
         self.broken = asyncio.get_running_loop().create_future()
         self.reused = False
+        self.probe_count = 0
 
     def is_usable(self):
         """Return whether the connection is open, as far as the node knows."""
