Leave out single records of the store that can't be used

What callers saw: 502 for each request that was placed at a server whose key has a line break. Nodes that got their list from others no longer followed it after a record with a long name, and a reader that met one unreadable item or record read the list no more.

Cause: lists and logs were decoded as a whole, and what the decoder does not check by itself (length, characters, range of ports and numbers) was not checked.

Change: items and records are decoded one by one. Names, keys, slots, durations and addresses are bounded, the latter also where a node sends a message, since asyncio closes the socket if the kernel's address can't be built. An invalid record has one line in the log. The stand-alone programs leave out single entries of the VM list, and survive deeply nested responses of the log and claims of seats.

--- a/src/jasmineseam/peers/datagrams.py
+++ b/src/jasmineseam/peers/datagrams.py
@@ -14,6 +14,7 @@
 import logbook
 
 from ..exceptions import InvalidMessageError
+from ..membership.addresses import parse_address
 from .messages import Message
 from .messages import decode_message
 from .messages import encode_message
@@ -79,9 +80,9 @@
             return
         data = encode_message(message)
         for address in addresses:
-            host, _, port = address.rpartition(":")
+            # asyncio closes the socket if the kernel's address can't be built.
             try:
-                self._transport.sendto(data, (host, int(port)))
+                self._transport.sendto(data, parse_address(address))
             except (OSError, ValueError) as error:
                 self.dropped_by_reason["unsendable"] += 1
                 _logger.debug("Datagram to {} was not sent: {}", address, error)
--- a/src/jasmineseam/platform/metadata_store.py
+++ b/src/jasmineseam/platform/metadata_store.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import collections
 import typing as t
 
 import logbook
 import msgspec
+import xxhash
 
 from ..exceptions import InvalidRecordError
 from ..fleet.store_protocol import NodeRecord
 from ..fleet.store_protocol import RoutingTableRead
+from ..membership.addresses import parse_address
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerListing
 from ..membership.store_position import StorePosition
@@ -25,6 +28,8 @@
 from .store_client import RecordBatch
 from .store_client import StoreClient
 
+# invalid records that are remembered
+MAX_LOGGED_RECORDS = 10_000
 _logger = logbook.Logger("platform")
 
 
@@ -36,8 +41,10 @@
 
     def __init__(self, *, client: StoreClient) -> None:
         self._client = client
-        # the last invalid value of each key, so that the same value is logged only once
-        self._invalid_values: dict[str, bytes] = {}
+        # keys and digests of invalid records, so that the same record is logged only once
+        self._logged_records: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
 
     async def read_routing_table(self) -> RoutingTableRead:
         """Return the latest routing table, ``None`` if the store holds none.
@@ -108,16 +115,27 @@
         records = []
         for record in batch.records:
             try:
-                records.append(msgspec.json.decode(record.value, type=NodeRecord))
-            except (msgspec.MsgspecError, RecursionError) as error:
+                if record.error:
+                    raise ValueError(record.error)
+                node = msgspec.json.decode(record.value, type=NodeRecord)
+                parse_address(node.peer_address)
+                records.append(node)
+            except (msgspec.MsgspecError, ValueError, RecursionError) as error:
                 self._log_invalid_record(record, InvalidRecordError(record.key, str(error)))
         return records
 
     def _log_invalid_record(self, record: KeyedRecord, error: InvalidRecordError) -> None:
-        if self._invalid_values.get(record.key) == record.value:
+        logged = self._logged_records
+        identity = (record.key, xxhash.xxh3_64_intdigest(record.value))
+        if identity in logged:
+            logged.move_to_end(identity)
             return
-        self._invalid_values[record.key] = record.value
-        _logger.warning("Treating invalid record in the metadata store as removed: {}", error)
+        logged[identity] = None
+        if len(logged) > MAX_LOGGED_RECORDS:
+            logged.popitem(last=False)
+        _logger.warning(
+            "Treating invalid record in the metadata store as removed: {:.200}", str(error)
+        )
 
 
 def _decode_configuration(
--- a/src/jasmineseam/platform/records.py
+++ b/src/jasmineseam/platform/records.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import ipaddress
 import typing as t
 
 import msgspec
 
 from ..exceptions import InvalidRecordError
+from ..membership.addresses import parse_address
 from ..membership.evacuations import EvacuationState
 from ..membership.registry import ServerChange
 from ..membership.registry import ServerListing
@@ -30,10 +30,13 @@
 SERVERS_TOPIC = "keyed.servers"
 NODES_TOPIC = "keyed.nodes"
 
-MAX_PORT = 65_535
+# A server with a longer warm-up or more slots is an error of whoever has written the record.
+MAX_WARMUP_S = 3600.0
+MAX_SLOTS = 1_000_000
+MAX_NAME_CHARS = 255
 # Numbers are sent to other nodes as 64-bit integers.
 MAX_COUNT = 2**63 - 1
-Address = t.Annotated[str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
+Name = t.Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)]
 Count = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 PositiveCount = t.Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 Rate = t.Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
@@ -121,10 +124,10 @@
 
 
 class _ServerRecord(msgspec.Struct, rename={"warmup_left": "warmup-left"}):
-    service: t.Annotated[str, msgspec.Meta(min_length=1)]
-    address: Address
-    zone: str
-    slots: PositiveCount
+    service: Name
+    address: Name
+    zone: Name
+    slots: t.Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: t.Literal["ready", "draining"]
     sequence: Count
     # start of the server, Unix time in milliseconds
@@ -198,9 +201,16 @@
     :raises InvalidRecordError: if the record is malformed.
     """
     try:
+        if record.error:
+            raise ValueError(record.error)
+        # Requests to a server name its id in a header.
+        if not record.key.isprintable() or not record.key.strip():
+            raise ValueError("the key is empty or has unprintable characters")
         content = msgspec.json.decode(record.value, type=_ServerRecord)
         warmup_s = parse_duration(content.warmup_left)
-        _check_address(content.address)
+        if warmup_s > MAX_WARMUP_S:
+            raise ValueError(f"warm-up of {warmup_s:g} s")
+        parse_address(content.address)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise InvalidRecordError(record.key, str(error)) from error
     server = Server(
@@ -224,7 +234,7 @@
 
     An invalid record removes the server, as if its key had been removed.
     """
-    if not record.value:
+    if not record.value and not record.error:
         return ServerChange(server_id=record.key), None
     try:
         return ServerChange(server_id=record.key, listing=decode_listing(record)), None
@@ -232,14 +242,6 @@
         return ServerChange(server_id=record.key), error
 
 
-def _check_address(address: str) -> None:
-    """Raise :exc:`ValueError` if the IP address or the port is out of range."""
-    host, _, port = address.rpartition(":")
-    ipaddress.IPv4Address(host)
-    if not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"port {port} is out of range")
-
-
 def _convert_tenants(tenants: list[_Tenant]) -> list[ClientAccount]:
     """Convert the client accounts; a key or a name that two of them share is an error."""
     accounts = []
--- a/src/jasmineseam/platform/settings.py
+++ b/src/jasmineseam/platform/settings.py
@@ -22,6 +22,8 @@
 
 SETTINGS_FILE_VARIABLE = "JASMINESEAM_NODE_FILE"
 _DURATION_PATTERN = re.compile(r"^([0-9]+(?:\.[0-9]+)?)(ms|s)$")
+# A longer duration is an error.
+MAX_DURATION_S = 1e9
 _SECONDS_PER_UNIT = {"ms": 0.001, "s": 1.0}
 
 
@@ -118,10 +120,13 @@
     >>> parse_duration("1500ms"), parse_duration("2.5s")
     (1.5, 2.5)
     """
-    match = _DURATION_PATTERN.match(text)
+    match = _DURATION_PATTERN.fullmatch(text)
     if match is None:
-        raise ValueError(f"{text!r} is not a duration in ms or s")
-    return float(match[1]) * _SECONDS_PER_UNIT[match[2]]
+        raise ValueError(f"{text[:40]!r} is not a duration in ms or s")
+    duration_s = float(match[1]) * _SECONDS_PER_UNIT[match[2]]
+    if duration_s > MAX_DURATION_S:
+        raise ValueError(f"{text[:40]!r} is longer than {MAX_DURATION_S:g} s")
+    return duration_s
 
 
 def parse_settings(text: str, source: str) -> NodeSettings:
--- a/src/jasmineseam/platform/store_client.py
+++ b/src/jasmineseam/platform/store_client.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import socket
 import struct
 import time
@@ -42,10 +41,13 @@
     """A record of a keyed topic.
 
     :param value: empty if the record is a tombstone.
+    :param error: why the key or the value can't be read, empty if both can; ``value`` is what was
+        received then, and ``key`` may be empty.
     """
 
     key: str
     value: bytes
+    error: str = ""
 
 
 class RecordBatch(msgspec.Struct, kw_only=True, frozen=True):
@@ -65,7 +67,8 @@
 
 
 class _LatestPage(msgspec.Struct):
-    items: list[_LatestItem]
+    # decoded one by one, so that an item that can't be decoded does not hide the others
+    items: list[msgspec.Raw]
     end: int
     more: bool = False
 
@@ -119,10 +122,14 @@
                 end = StorePosition(response.timeline, page.end)
             if end.timeline != response.timeline:
                 raise StoreRestoredError(response.timeline)
-            records.extend(_decode_item(item) for item in page.items)
+            page_records = [_decode_item(bytes(item)) for item in page.items]
+            records += page_records
             if not page.more or not page.items:
                 return RecordBatch(records=records, end=end)
-            params["after"] = page.items[-1].key
+            keys = [record.key for record in page_records if record.key]
+            if not keys:
+                raise StoreUnavailableError("answer", "no key on a page can be read")
+            params["after"] = keys[-1]
 
     async def read_from(
         self, topic: str, position: StorePosition, wait_s: float = 0.0
@@ -231,13 +238,15 @@
         raise StoreUnavailableError("answer", f"malformed JSON: {error}") from error
 
 
-def _decode_item(item: _LatestItem) -> KeyedRecord:
+def _decode_item(data: bytes) -> KeyedRecord:
+    try:
+        item = msgspec.json.decode(data, type=_LatestItem)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        return KeyedRecord(key="", value=data, error=f"malformed item: {error}")
     try:
         value = base64.b64decode(item.value, validate=True)
-    except binascii.Error as error:
-        raise StoreUnavailableError(
-            "answer", f"value of key {item.key!r} is not base64: {error}"
-        ) from error
+    except ValueError as error:
+        return KeyedRecord(key=item.key, value=data, error=f"value is not base64: {error}")
     return KeyedRecord(key=item.key, value=value)
 
 
@@ -254,13 +263,18 @@
                 raise ValueError(f"record of {size} bytes is truncated")
             body_index += size
             records.append(_decode_keyed_record(content))
-    except (struct.error, ValueError, IndexError) as error:
+    except (struct.error, ValueError) as error:
         raise StoreUnavailableError("answer", f"malformed records: {error}") from error
     end_offset = min(end, position.offset + len(records))
     return RecordBatch(records=records, end=StorePosition(position.timeline, end_offset))
 
 
 def _decode_keyed_record(content: bytes) -> KeyedRecord:
-    key_size = content[0]
-    key = content[1 : 1 + key_size]
-    return KeyedRecord(key=key.decode(errors="replace"), value=content[1 + key_size :])
+    if not content or len(content) <= content[0]:
+        return KeyedRecord(key="", value=content, error="record without a complete key")
+    key_end = 1 + content[0]
+    try:
+        key = content[1:key_end].decode()
+    except UnicodeDecodeError as error:
+        return KeyedRecord(key="", value=content, error=f"malformed key: {error}")
+    return KeyedRecord(key=key, value=content[key_end:])
--- a/src/jasmineseam/programs/server_prober.py
+++ b/src/jasmineseam/programs/server_prober.py
@@ -149,7 +149,7 @@
     def _apply_claim(self, payload: str) -> None:
         try:
             claim = msgspec.json.decode(payload, type=SeatClaim)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return
         if claim.seat == self.seat.seat:
             self._newest_claim_holder = claim.holder
--- a/src/jasmineseam/standalone/log_client.py
+++ b/src/jasmineseam/standalone/log_client.py
@@ -93,5 +93,5 @@
 def _decode(body: bytes, response_type):
     try:
         return msgspec.json.decode(body, type=response_type)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise LogUnavailableError(f"response of the log cannot be decoded: {error}") from error
--- a/src/jasmineseam/standalone/vm_list_client.py
+++ b/src/jasmineseam/standalone/vm_list_client.py
@@ -8,12 +8,15 @@
 import typing as t
 
 import aiohttp
+import logbook
 import msgspec
 
 from ..exceptions import VmListUnavailableError
+from ..membership.addresses import MAX_PORT
 from ..membership.servers import Server
 
 VM_LIST_CALL_TIMEOUT_S = 3.0
+_logger = logbook.Logger("vm-list")
 
 
 class ListedVm(msgspec.Struct, kw_only=True):
@@ -58,6 +61,10 @@
         return [vm for vm in self.vms if vm.role == "entry"]
 
 
+class _RawVmList(msgspec.Struct):
+    vms: list[msgspec.Raw]
+
+
 class VmListClient:
     """Reads the list of VMs.
 
@@ -68,6 +75,8 @@
     def __init__(self, *, session: aiohttp.ClientSession, url: str) -> None:
         self._session = session
         self._url = url
+        # invalid entries of the last list, each of which is logged once
+        self._invalid: set[bytes] = set()
 
     async def read(self) -> VmList:
         """Read the current list.
@@ -82,9 +91,40 @@
             raise VmListUnavailableError(repr(error)) from error
         if response.status != 200:
             raise VmListUnavailableError(f"HTTP status {response.status}")
+        return self._decode_list(body)
+
+    def _decode_list(self, body: bytes) -> VmList:
+        """Decode a response; a VM that can't be decoded is left out.
+
+        :raises VmListUnavailableError: if the response as a whole can't be decoded.
+        """
         try:
-            return msgspec.json.decode(body, type=VmList)
-        except msgspec.MsgspecError as error:
+            raw_list = msgspec.json.decode(body, type=_RawVmList)
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise VmListUnavailableError(
                 f"response of the VM list service cannot be decoded: {error}"
             ) from error
+        vms = []
+        invalid = set()
+        for raw_vm in raw_list.vms:
+            data = bytes(raw_vm)
+            try:
+                vm = msgspec.json.decode(data, type=ListedVm)
+                _check_address(vm.address)
+            except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+                invalid.add(data)
+                if data not in self._invalid:
+                    _logger.warning("Leaving out an invalid entry of the VM list: {}", error)
+                continue
+            vms.append(vm)
+        self._invalid = invalid
+        return VmList(vms=vms)
+
+
+def _check_address(address: str) -> None:
+    """Raise :exc:`ValueError` if an address has no host or its port is out of range."""
+    host, _, port = address.rpartition(":")
+    if not host or not host.isprintable() or not (port.isascii() and port.isdigit()):
+        raise ValueError(f"{address[:40]!r} is not an address with a port")
+    if len(port) > 5 or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"port {port[:40]} is out of range")
