Offer a relayed request to another node if the first one stops; document new log lines

A node that stops and has not sent a relayed request ends it as not run, with the reason stopping. The node that relays it then offers it to another one. The reasons stopping and heads-merged are explained by jasmineseam-ctl.

--- a/src/jasmineseam/node/daemon.py
+++ b/src/jasmineseam/node/daemon.py
@@ -364,11 +364,12 @@
         await self._listeners.stop_accepting_callers()
         if not await self._drain_until(started_at + DRAINING_GRACE_FRACTION * grace_s):
             count = self.gateway.running_requests.end()
-            self.logger.warning(
-                "Ending {} requests that servers have not answered by the end of the grace "
-                "period; callers get 504, or 503 if nothing was sent.",
-                count,
-            )
+            if count:
+                self.logger.warning(
+                    "Ending {} requests that servers have not answered by the end of the grace "
+                    "period; callers get 504, or 503 if nothing was sent.",
+                    count,
+                )
             await self._drain_until(started_at + ANSWERING_GRACE_FRACTION * grace_s)
         self.logger.info(
             "Drain ended with {} unfinished requests after {:.2f} s; closing all connections.",
--- a/src/jasmineseam/node/relays.py
+++ b/src/jasmineseam/node/relays.py
@@ -38,6 +38,7 @@
 from .authentication import REASON_OUTDATED
 from .authentication import REASON_UNCONFIRMED
 from .proxied_request import ProxiedRequest
+from .running_requests import REASON_STOPPING
 from .running_requests import RunningRequests
 
 # number of nodes to which a request is offered
@@ -58,6 +59,7 @@
         REASON_NO_PATH,
         REASON_NO_SERVER,
         REASON_LEAVING,
+        REASON_STOPPING,
         REASON_OUTDATED,
         REASON_UNCONFIRMED,
         "connect",
--- a/src/jasmineseam/operations/explanation.py
+++ b/src/jasmineseam/operations/explanation.py
@@ -51,6 +51,8 @@
     "closed-before-sending": "the reused connection was closed before anything was sent",
     "response-cut": "the server's response was truncated",
     "response-unsigned": "the response had no signature of the service",
+    "heads-merged": "the head of the response consisted of two heads",
+    "stopping": "the node stopped, and no server had answered by the end of its grace period",
     "response-too-large": "the response exceeded the node's size limit",
     "deadline-malformed": "the caller's deadline is not a number",
     "head-timeout": "the caller did not send the request head in time",
