Take only statuses of HTTP/1.1 for responses

After 101, the caller of a node waited until its deadline.

Cause: aiohttp's parsers accept any three-digit status, and no reader of responses checked it.

Change: the protocol is HTTP/1.1, whose statuses are 100 to 599; 101 is no response either, as no request asks for an upgrade. ResponseScanner follows the bytes of each connection and checks each head before the parser gets the end of it. ResponseProtocol ends the connection at an invalid head, and at endless framing, as the node's connections did before. The node's and the stand-alone entry's connections to servers use it, and so do the clients of the store, the log and the VM list. The outcome is then unknown: 502, or another attempt if the request may be repeated.

Result: test_invalid_status_reaches_no_caller (4 cases), and the cases "status" of retries, hedges, probes and heads behind another response, failed on with both parsers and pass.

--- a/src/jasmineseam/operations/explanation.py
+++ b/src/jasmineseam/operations/explanation.py
@@ -51,6 +51,7 @@
     "closed-before-sending": "the reused connection was closed before anything was sent",
     "response-cut": "the server's response was truncated",
     "response-unsigned": "the response had no signature of the service",
+    "response-invalid": "the server sent bytes that are no valid response",
     "heads-merged": "the head of the response consisted of two heads",
     "stopping": "the node stopped, and no server had answered by the end of its grace period",
     "response-too-large": "the response exceeded the node's size limit",
--- a/src/jasmineseam/platform/store_client.py
+++ b/src/jasmineseam/platform/store_client.py
@@ -20,6 +20,7 @@
 from ..exceptions import StoreUnavailableError
 from ..membership.store_position import StorePosition
 from ..transport.keepalive import enable_keepalive
+from ..transport.response_protocol import open_connector
 
 CALL_TIMEOUT_S = 0.7
 # timeout after a call that has timed out, since the store may only be slow
@@ -93,7 +94,7 @@
 
     def __init__(self, *, address: str) -> None:
         self._url = f"http://{address}/api"
-        connector = aiohttp.TCPConnector(limit=0, socket_factory=_open_socket)
+        connector = open_connector(limit=0, socket_factory=_open_socket)
         self._session = aiohttp.ClientSession(
             connector=connector, cookie_jar=aiohttp.DummyCookieJar()
         )
--- a/src/jasmineseam/programs/agent.py
+++ b/src/jasmineseam/programs/agent.py
@@ -36,6 +36,7 @@
 from ..standalone.log_client import LogClient
 from ..standalone.vm_list_client import VmList
 from ..standalone.vm_list_client import VmListClient
+from ..transport.response_protocol import open_connector
 from .catalogue_reader import CatalogueReader
 from .local_programs import LocalPrograms
 from .server_prober import ServerProber
@@ -73,7 +74,7 @@
         """Open the clients of the log and the VM list, and start all tasks."""
         await super().on_start()
         settings = self.settings
-        connector = aiohttp.TCPConnector(limit=64)
+        connector = open_connector(limit=64)
         self._session = aiohttp.ClientSession(connector=connector)
         log = LogClient(session=self._session, base_url=settings.platform.log_url)
         self._vm_list = VmListClient(session=self._session, url=settings.platform.vm_list_url)
--- a/src/jasmineseam/programs/attempt_sender.py
+++ b/src/jasmineseam/programs/attempt_sender.py
@@ -29,6 +29,8 @@
 from ..routing.backends import Backend
 from ..routing.pool import ServerPool
 from ..transport.response_heads import holds_status_line
+from ..transport.response_protocol import InvalidResponseError
+from ..transport.response_protocol import open_connector
 
 MAX_CONNECTIONS_PER_SERVER = 40
 IDLE_CONNECTION_TIMEOUT_S = 15.0
@@ -71,7 +73,7 @@
 
 def open_session() -> aiohttp.ClientSession:
     """Open the HTTP client session for backend servers."""
-    connector = aiohttp.TCPConnector(
+    connector = open_connector(
         limit=0,
         limit_per_host=MAX_CONNECTIONS_PER_SERVER,
         keepalive_timeout=IDLE_CONNECTION_TIMEOUT_S,
@@ -273,6 +275,8 @@
 def _get_failure_reason(error: Exception) -> str:
     if isinstance(error, TimeoutError):
         return "deadline"
+    if isinstance(error, InvalidResponseError):
+        return "answer-invalid"
     if isinstance(error, aiohttp.ClientPayloadError):
         return "answer-cut"
     if isinstance(error, aiohttp.ServerDisconnectedError):
--- a/src/jasmineseam/programs/operator_client.py
+++ b/src/jasmineseam/programs/operator_client.py
@@ -23,6 +23,7 @@
 from ..standalone.log_client import CATALOGUE_STREAM
 from ..standalone.log_client import LogClient
 from ..standalone.vm_list_client import VmListClient
+from ..transport.response_protocol import open_connector
 
 REQUEST_TIMEOUT_S = 1.0
 # less than every position, so that an agent always returns its snapshot
@@ -63,7 +64,7 @@
         self._settings = settings
         self._context = zmq.asyncio.Context()
         self._peer_clients = PeerClients(context=self._context)
-        self._session = aiohttp.ClientSession()
+        self._session = aiohttp.ClientSession(connector=open_connector())
         self.log_client = LogClient(session=self._session, base_url=settings.platform.log_url)
         self._vm_list = VmListClient(session=self._session, url=settings.platform.vm_list_url)
 
--- a/src/jasmineseam/transport/server_connection.py
+++ b/src/jasmineseam/transport/server_connection.py
@@ -13,7 +13,6 @@
 import typing as t
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 from aiohttp.http import StreamWriter
 from aiohttp.streams import EMPTY_PAYLOAD
@@ -25,14 +24,13 @@
 from .keepalive import enable_keepalive
 from .response_heads import holds_status_line
 from .response_memory import ResponseMemory
+from .response_protocol import InvalidResponseError
+from .response_protocol import ResponseProtocol
 
 # size of the largest response head expected from servers; aiohttp's parser limits each line and
 # each field of a head, not the whole head
 MAX_HEAD_LINE_BYTES = 65_536
 READ_BUFFER_BYTES = 262_144
-# Per request, a server may send this many bytes outside of bodies (heads, chunk sizes, trailers)
-# in addition to twice the size of the bodies.
-MAX_FRAMING_BYTES = 262_144
 # maximum size of a response to an earlier request, which is skipped
 MAX_SKIPPED_BODY_BYTES = 32 * 1024 * 1024
 # idle limit of a connection whose server has sent no timeout in a Keep-Alive header
@@ -57,55 +55,33 @@
 )
 
 
-class _ConnectionProtocol(ResponseHandler):
-    """aiohttp's protocol, with stricter handling of connections that send invalid data.
+class _ConnectionProtocol(ResponseProtocol):
+    """Protocol with stricter handling of connections that send invalid data.
 
     A connection reset ends an incomplete body with an error; aiohttp completes a body that is
     delimited by the close of the connection even on a reset. Data that arrives while no response
-    is expected, and heads or trailers without end, close the connection.
+    is expected closes the connection.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._expects_response = False
-        self._received_bytes = 0
-        self._finished_body_bytes = 0
-        self._current_body: StreamReader | None = None
 
     def begin_exchange(self) -> None:
         """Expect responses from now on."""
         self._expects_response = True
-        self._received_bytes = 0
-        self._finished_body_bytes = 0
-        self._current_body = None
+        self.reset_counts()
 
     def end_exchange(self) -> None:
         """Expect no response until the next exchange begins."""
         self._expects_response = False
 
-    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
-        """Record the body of a new response, and queue the response."""
-        self._finished_body_bytes = self._count_body_bytes()
-        _, self._current_body = data
-        super().feed_data(data, size)
-
     def data_received(self, data: bytes) -> None:
-        """Pass received data to the parser, unless it is surplus or exceeds the limit."""
+        """Pass received data to the parser, unless it is surplus."""
         if not self._expects_response:
             self.abort()
             return
-        self._received_bytes += len(data)
         super().data_received(data)
-        if self._received_bytes > MAX_FRAMING_BYTES + 2 * self._count_body_bytes():
-            error = aiohttp.ClientPayloadError("too many bytes outside of bodies")
-            self.set_exception(error)
-            if self._current_body is not None and not self._current_body.is_eof():
-                self._current_body.set_exception(error)
-            self.abort()
-
-    def _count_body_bytes(self) -> int:
-        current = 0 if self._current_body is None else self._current_body.total_bytes
-        return self._finished_body_bytes + current
 
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
@@ -201,6 +177,8 @@
         while True:
             try:
                 message, payload = await self._protocol.read()
+            except InvalidResponseError as error:
+                raise AttemptOutcomeUnknownError("response-invalid") from error
             except _TRANSPORT_ERRORS as error:
                 raise AttemptOutcomeUnknownError("no-response") from error
             if holds_status_line(message.reason, message.raw_headers):
