Refuse response heads with a blank in the name of a field

What callers saw: a success with the line `Content-Length : 5` or `Transfer-Encoding : chunked` beside the right Content-Length; and at the stand-alone entry a success whose body held the framing of the server's body or surplus bytes, behind a line that begins with a blank.

Cause: aiohttp's parser in C allows a blank behind the names that it interprets, and returns the name with the blank, which no list of hop-by-hop headers holds. Both parsers fold a line that begins with a blank into the field before it, so that a framing in it is lost.

Change: a line of a head must begin with a name of token characters and a colon. A fold is refused as well; what the parsers return does not show it.

--- a/src/jasmineseam/transport/response_scanner.py
+++ b/src/jasmineseam/transport/response_scanner.py
@@ -1,6 +1,8 @@
 """Boundaries of the responses on a connection, and the check of each response's head.
 
-aiohttp's parsers are lenient. They accept any three-digit status.
+aiohttp's parsers are lenient. They accept any three-digit status, append a line that begins with a
+blank to the field before it, and one of them accepts a blank behind some field names. What they
+return does not show this, so the check reads the bytes before they are parsed.
 """
 
 from __future__ import annotations
@@ -11,8 +13,13 @@
 # size of the largest response head
 MAX_HEAD_BYTES = 262_144
 _HEAD_END = re.compile(rb"\n\r?\n")
+_TEXT = rb"[^\n]*"
+_NAME = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 # Statuses are 100 to 599 (RFC 9110, section 15), without 101: no request asks for an upgrade.
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] (?:1(?!01)|[2-5])[0-9]{2}[ \r\n]")
+_HEAD = re.compile(
+    rb"HTTP/1\.[01] (?:1(?!01)|[2-5])[0-9]{2}(?: %b)?\r?\n(?:%b:%b\r?\n)*\r?\n"
+    % (_TEXT, _NAME, _TEXT)
+)
 _BODILESS_STATUS = re.compile(rb"HTTP/1\.[01] (?:1..|204|304)")
 _CHUNKED = re.compile(rb"\ntransfer-encoding:[^\n]*chunked[ \t]*\r?\n", re.IGNORECASE)
 _CONTENT_LENGTH = re.compile(rb"\ncontent-length:[ \t]*([0-9]{1,19})[ \t]*\r?\n", re.IGNORECASE)
@@ -91,7 +98,7 @@
             return len(data) if len(self._pending) < MAX_HEAD_BYTES else None
         head = bytes(self._pending[: match.end()])
         self._pending.clear()
-        if _STATUS_LINE.match(head) is None:
+        if _HEAD.fullmatch(head) is None:
             return None
         self.valid_heads += 1
         self._begin_body(head)
--- a/tests/test_invalid_heads.py
+++ b/tests/test_invalid_heads.py
@@ -31,6 +31,7 @@
 BODY = b"hello"
 # invalid according to RFC 9110, section 15; no request asks for an upgrade (101)
 INVALID_STATUSES = ["000", "001", "099", "101", "600", "700", "999"]
+CONTROL_BYTES = [byte for byte in (*range(0x20), 0x7F) if byte not in b"\t\n\r"]
 REQUEST = (
     b"%b %b HTTP/1.1\r\nHost: %b\r\nJasmineseam-Request-Id: r1\r\n"
     b"Jasmineseam-Deadline-Ms: 400\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -49,6 +50,25 @@
     return b"\r\n".join([b"HTTP/1.1 " + status, *lines, *fields]) + b"\r\n\r\n"
 
 
+def build_invalid_names():
+    """Return lines whose field name holds a blank or a control byte, by description."""
+    lines = {}
+    for byte in (0x00, 0x01, 0x08, 0x09, 0x0B, 0x1F, 0x20, 0x7F):
+        one = bytes([byte])
+        for name in (b"X-Name", b"Content-Length", b"Transfer-Encoding", b"Connection"):
+            value = {b"Transfer-Encoding": b"chunked", b"Connection": b"close"}.get(name, b"3")
+            text = f"{byte:02x} {name.decode()}"
+            lines[f"{text} start"] = one + name + b": " + value
+            lines[f"{text} middle"] = name[:3] + one + name[3:] + b": " + value
+            lines[f"{text} end"] = name + one + b": " + value
+    lines["no colon"] = b"X-Name 3"
+    lines["empty"] = b": 3"
+    return lines
+
+
+INVALID_NAMES = build_invalid_names()
+
+
 @pytest.fixture(params=["extension", "python"])
 def parser(request, monkeypatch):
     """Use one of the two parsers and writers of aiohttp."""
@@ -142,6 +162,37 @@
     assert received.endswith(b"\r\n\r\n" + BODY)
 
 
+@pytest.mark.parametrize("play", PLAYERS)
+def test_field_name_with_a_blank_or_a_control_byte_reaches_no_caller(play, parser):
+    """Guards against lines that are forwarded, and against a body with another framing.
+
+    A blank before the name folds the line into the field before it.
+    """
+    heads = {}
+    for description, line in INVALID_NAMES.items():
+        heads[f"first {description}"] = build_head(line)
+        heads[f"second {description}"] = build_head(b"X-Other: 1", line)
+    assert find_unexpected(play(heads), UNKNOWN_OUTCOME) == {}
+
+
+@pytest.mark.parametrize("play", PLAYERS)
+@pytest.mark.parametrize(
+    ("line", "body"),
+    [
+        (b"Transfer-Encoding : chunked", b"5\r\nhello\r\n0\r\n\r\n"),
+        (b" Transfer-Encoding: chunked", b"5\r\nhello\r\n0\r\n\r\n"),
+        (b"\tTransfer-Encoding: chunked", b"5\r\nhello\r\n0\r\n\r\n"),
+        (b"Content-Length : 5", BODY + b"surplus"),
+        (b" Content-Length: 5", BODY + b"surplus"),
+        (b"Content-\x01Length: 5", BODY + b"surplus"),
+    ],
+)
+def test_framing_in_an_invalid_field_gives_no_body(play, line, body, parser):
+    """Guards against a body that holds the framing, or bytes after the end of the body."""
+    received = play({"": build_head(b"X-Other: 1", line, length=b"")}, body)
+    assert find_unexpected(received, UNKNOWN_OUTCOME) == {}
+
+
 @pytest.mark.parametrize("play", PLAYERS)
 @pytest.mark.parametrize(
     "line", [b"X-Value: a\tb", b"X-Value:", b"X-Value:a:b", "X-Value: é".encode()]
@@ -156,6 +207,8 @@
 
 INVALID_HEADS = {
     "status": build_head(status=b"000 OK"),
+    "name": build_head(b"Content-Length : 5", length=b""),
+    "folded": build_head(b"X-Other: 1", b" X-Name: 3"),
 }
 
 
