Refuse response heads with a control byte in a value

What callers saw: their connection closed without a response, for 29 of 30 control bytes in the value of a field, at a node and at the stand-alone entry.

Cause: aiohttp's parsers accept these bytes in responses, and its writer refuses them, after the response was taken for a success.

Change: such a head, or one with a control byte in the reason phrase, is invalid. A tab is still passed on.

--- a/src/jasmineseam/transport/response_scanner.py
+++ b/src/jasmineseam/transport/response_scanner.py
@@ -13,7 +13,7 @@
 # size of the largest response head
 MAX_HEAD_BYTES = 262_144
 _HEAD_END = re.compile(rb"\n\r?\n")
-_TEXT = rb"[^\n]*"
+_TEXT = rb"[^\x00-\x08\x0a-\x1f\x7f]*"
 _NAME = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 # Statuses are 100 to 599 (RFC 9110, section 15), without 101: no request asks for an upgrade.
 _HEAD = re.compile(
--- a/tests/test_invalid_heads.py
+++ b/tests/test_invalid_heads.py
@@ -67,6 +67,7 @@
 
 
 INVALID_NAMES = build_invalid_names()
+INVALID_VALUES = {f"{byte:02x}": b"X-Value: a%cb" % byte for byte in CONTROL_BYTES}
 
 
 @pytest.fixture(params=["extension", "python"])
@@ -193,6 +194,14 @@
     assert find_unexpected(received, UNKNOWN_OUTCOME) == {}
 
 
+@pytest.mark.parametrize("play", PLAYERS)
+def test_control_byte_in_a_field_value_leaves_no_caller_without_a_response(play, parser):
+    heads = {key: build_head(line) for key, line in INVALID_VALUES.items()}
+    assert find_unexpected(play(heads), UNKNOWN_OUTCOME) == {}
+    reason = {key: build_head(status=b"200 O%cK" % byte) for key, byte in enumerate(CONTROL_BYTES)}
+    assert find_unexpected(play(reason), UNKNOWN_OUTCOME) == {}
+
+
 @pytest.mark.parametrize("play", PLAYERS)
 @pytest.mark.parametrize(
     "line", [b"X-Value: a\tb", b"X-Value:", b"X-Value:a:b", "X-Value: é".encode()]
@@ -209,6 +218,7 @@
     "status": build_head(status=b"000 OK"),
     "name": build_head(b"Content-Length : 5", length=b""),
     "folded": build_head(b"X-Other: 1", b" X-Name: 3"),
+    "value": build_head(b"X-Value: a\x01b"),
 }
 
 
