--- a/tests/test_invalid_heads.py
+++ b/tests/test_invalid_heads.py
@@ -214,6 +214,14 @@
     assert received.endswith(b"\r\n\r\n" + BODY)
 
 
+@pytest.mark.parametrize("play", PLAYERS)
+def test_value_that_is_not_utf8_leaves_no_caller_without_a_response(play, parser):
+    received = play({"": build_head(b"X-Value: a\xe9b")})[""]
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert b"\r\nX-Value: ab\r\n" in received
+    assert received.endswith(b"\r\n\r\n" + BODY)
+
+
 INVALID_HEADS = {
     "status": build_head(status=b"000 OK"),
     "name": build_head(b"Content-Length : 5", length=b""),
