Check the heads of relayed and forwarded responses

What callers saw (in tests): `HTTP/1.1 600`, `HTTP/1.1 101`, the line `Content-Length : 5`, or no response, if the node that had relayed their request, or the home of their key, runs a build that accepts invalid heads, as during an upgrade. At the stand-alone entry also `HTTP/1.1 0`; a relayed status below 100 was refused before, when the message is decoded.

Change: what a valid head is stands in transport/response_heads.py, once for the scanner and for responses that another process has received. An invalid one gives 502.

--- a/src/jasmineseam/node/relays.py
+++ b/src/jasmineseam/node/relays.py
@@ -35,6 +35,7 @@
 from ..routing.dispatch import REASON_NO_PATH
 from ..routing.dispatch import REASON_NO_SERVER
 from ..routing.dispatch import Dispatcher
+from ..transport.response_heads import is_forwardable
 from .authentication import REASON_OUTDATED
 from .authentication import REASON_UNCONFIRMED
 from .proxied_request import ProxiedRequest
@@ -249,6 +250,8 @@
     def _decode_reply(self, reply: RelayedResponse, proxied: ProxiedRequest) -> ServerResponse:
         if not reply.reason:
             headers = _decode_headers(reply.headers)
+            if not is_forwardable(reply.status, headers.items()):
+                raise UnknownOutcomeError("response-invalid", 502)
             head = self._header_codec.decode_response(reply.status, headers)
             return ServerResponse(reply.status, headers, reply.body, head)
         if reply.may_have_run:
--- a/src/jasmineseam/programs/keyed_requests.py
+++ b/src/jasmineseam/programs/keyed_requests.py
@@ -37,6 +37,7 @@
 from ..requests.outcome import CallerResponse
 from ..requests.outcome import build_not_run_response
 from ..requests.outcome import build_unknown_outcome_response
+from ..transport.response_heads import is_forwardable
 from .agent_replica import AgentReplica
 
 HANDOVER_ATTEMPT_TIMEOUT_S = 3.0
@@ -98,6 +99,13 @@
         :raises NotRunError: if the request was not run.
         :raises UnknownOutcomeError: if the request may have been run.
         """
+        response = await self._run_anywhere(inbound)
+        # The home may be of an earlier build, as may be the process that recorded the response.
+        if not is_forwardable(response.status, response.headers):
+            raise UnknownOutcomeError("answer-invalid")
+        return response
+
+    async def _run_anywhere(self, inbound: InboundRequest) -> CallerResponse:
         key = parse_idempotency_key(inbound.key)
         ledger = self._ledgers.get(key.home)
         if ledger is None:
--- a/src/jasmineseam/transport/response_scanner.py
+++ b/src/jasmineseam/transport/response_scanner.py
@@ -10,15 +10,15 @@
 import enum
 import re
 
+from .response_heads import FIELD_NAME
+from .response_heads import STATUS
+from .response_heads import TEXT
+
 # size of the largest response head
 MAX_HEAD_BYTES = 262_144
 _HEAD_END = re.compile(rb"\n\r?\n")
-_TEXT = rb"[^\x00-\x08\x0a-\x1f\x7f]*"
-_NAME = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
-# Statuses are 100 to 599 (RFC 9110, section 15), without 101: no request asks for an upgrade.
 _HEAD = re.compile(
-    rb"HTTP/1\.[01] (?:1(?!01)|[2-5])[0-9]{2}(?: %b)?\r?\n(?:%b:%b\r?\n)*\r?\n"
-    % (_TEXT, _NAME, _TEXT)
+    rb"HTTP/1\.[01] %b(?: %b)?\r?\n(?:%b:%b\r?\n)*\r?\n" % (STATUS, TEXT, FIELD_NAME, TEXT)
 )
 _BODILESS_STATUS = re.compile(rb"HTTP/1\.[01] (?:1..|204|304)")
 _CHUNKED = re.compile(rb"\ntransfer-encoding:[^\n]*chunked[ \t]*\r?\n", re.IGNORECASE)
--- a/tests/test_invalid_heads.py
+++ b/tests/test_invalid_heads.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import types
 
 import aiohttp
 import pytest
@@ -13,11 +14,18 @@
 from aiohttp.http_parser import HttpResponseParserPy
 
 from jasmineseam.exceptions import AttemptOutcomeUnknownError
+from jasmineseam.exceptions import InvalidMessageError
 from jasmineseam.exceptions import LogUnavailableError
+from jasmineseam.exceptions import PeerReplyLostError
 from jasmineseam.exceptions import StoreUnavailableError
 from jasmineseam.exceptions import VmListUnavailableError
+from jasmineseam.peers.messages import ForwardedResponse
+from jasmineseam.peers.messages import RelayedResponse
+from jasmineseam.peers.messages import decode_message
+from jasmineseam.peers.messages import encode_message
 from jasmineseam.platform.store_client import StoreClient
 from jasmineseam.programs.attempt_sender import open_session
+from jasmineseam.requests.outcome import CallerResponse
 from jasmineseam.standalone.log_client import LogClient
 from jasmineseam.standalone.vm_list_client import VmListClient
 from jasmineseam.transport.response_protocol import open_connector
@@ -333,3 +341,66 @@
             await client.close()
 
     asyncio.run(main())
+
+
+INVALID_FORWARDED_HEADS = {
+    "000": (0, []),
+    "101": (101, []),
+    "600": (600, []),
+    "blank in name": (200, [("Content-Length ", "5")]),
+    "control byte in value": (200, [("X-Value", "a\x01b")]),
+}
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"), INVALID_FORWARDED_HEADS.values(), ids=INVALID_FORWARDED_HEADS
+)
+def test_invalid_head_of_a_relayed_response_reaches_no_caller(status, headers):
+    """The node that has received the response may be of an earlier build."""
+
+    async def scenario(deployment):
+        node = await start_node(deployment, "i-1")
+        await deployment.add_node("vm-2")
+        await wait_until(lambda: len(node.fleet.membership.list_live()) == 2, "the nodes meet")
+
+        async def reply(message, timeout_s, **options):
+            encoded = [(name.encode(), value.encode()) for name, value in headers]
+            data = encode_message(RelayedResponse(status=status, headers=encoded, body=BODY))
+            try:
+                return decode_message(data)
+            except InvalidMessageError as error:
+                raise PeerReplyLostError("malformed") from error
+
+        node.relay_client._get_peer_client = lambda address: types.SimpleNamespace(request=reply)
+        node.gateway.dispatchers.get("fit", None).mark_path_lost()
+        await deployment.instances["i-1"].stop()
+        node.gateway.connections.close()
+        received = await receive_raw(
+            node.settings.listeners.entry, REQUEST % (b"POST", b"/order/1", b"fit.example")
+        )
+        assert received.startswith(UNKNOWN_OUTCOME)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"), INVALID_FORWARDED_HEADS.values(), ids=INVALID_FORWARDED_HEADS
+)
+def test_invalid_head_of_a_response_of_the_home_reaches_no_caller(status, headers):
+    async def main():
+        async with EntryUnderTest(send_raw) as entry:
+            home = "00000000000000ff"
+            entry.set_peer_entry(home, "127.0.0.1:1")
+
+            async def reply(message, timeout_s):
+                answer = CallerResponse(status=status, headers=headers, body=BODY)
+                return decode_message(encode_message(ForwardedResponse(answer=answer)))
+
+            entry.keyed_requests._peer_clients = types.SimpleNamespace(
+                get=lambda address: types.SimpleNamespace(request=reply)
+            )
+            request = REQUEST % (b"POST", b"/x", b"fittings")
+            key = b"Idempotency-Key: %b-0.order-1\r\n\r\n" % home.encode()
+            return await receive_raw(entry.address, request[:-2] + key)
+
+    assert asyncio.run(main()).startswith(UNKNOWN_OUTCOME)
