Limit the bodies that the prober and the platform's clients read

What callers saw: nothing yet; the stand-alone agent grew by 1 GB in two seconds when 20 probes got bodies without end, and a process that is ended for its memory loses the requests of all callers. The clients of the log and the VM list read 4 GB each until their timeout (measured at the server).

Cause: response.read() reads a body of any size.

Change: they read bodies up to a limit, as the client of the store did, by the same function: 64 kB for a probe, 64 MiB for the log and the VM list.

--- a/src/jasmineseam/platform/store_client.py
+++ b/src/jasmineseam/platform/store_client.py
@@ -20,6 +20,7 @@
 from ..exceptions import StoreUnavailableError
 from ..membership.store_position import StorePosition
 from ..transport.keepalive import enable_keepalive
+from ..transport.response_bodies import read_limited_body
 from ..transport.response_protocol import open_connector
 
 CALL_TIMEOUT_S = 0.7
@@ -185,7 +186,7 @@
             async with self._session.request(
                 method, f"{self._url}/{operation}", params=params, data=data, timeout=timeout
             ) as response:
-                body = await _read_body(response)
+                body = await read_limited_body(response, MAX_RESPONSE_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self.failed_call_count += 1
             if isinstance(error, TimeoutError):
@@ -208,15 +209,6 @@
         return _StoreResponse(body, timeline)
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > MAX_RESPONSE_BYTES:
-            raise aiohttp.ClientPayloadError(f"body exceeds {MAX_RESPONSE_BYTES} bytes")
-    return bytes(body)
-
-
 def _parse_timeline(text: str | None, default: int) -> int:
     if text is None or not text.isascii() or not text.isdigit() or len(text) > 18:
         return default
--- a/src/jasmineseam/programs/server_prober.py
+++ b/src/jasmineseam/programs/server_prober.py
@@ -29,12 +29,14 @@
 from ..membership.servers import ServerMembership
 from ..standalone.log_client import SEATS_STREAM
 from ..standalone.log_client import LogClient
+from ..transport.response_bodies import read_limited_body
 
 SEAT_RENEWAL_INTERVAL_S = 1.5
 PROBE_POLL_INTERVAL_S = 0.1
 # a server that has responded or was probed within this time needs no probe
 OBSERVATION_FRESHNESS_S = 1.0
 MAX_RETAINED_PROBE_RESULTS = 200
+MAX_PROBE_BODY_BYTES = 65_536
 _logger = logbook.Logger("measuring")
 
 
@@ -199,7 +201,7 @@
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(total=slot_s * 2),
             ) as response:
-                await response.read()
+                await read_limited_body(response, MAX_PROBE_BODY_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             _logger.debug(
                 "Probe of server {} failed; it is probed again later: {!r}",
--- a/src/jasmineseam/standalone/log_client.py
+++ b/src/jasmineseam/standalone/log_client.py
@@ -10,11 +10,14 @@
 
 from ..exceptions import LogUnavailableError
 from ..exceptions import RecordsTrimmedError
+from ..transport.response_bodies import read_limited_body
 
 CATALOGUE_STREAM = "catalogue"
 # claims of seats; a seat is one VM's share of the probe budget, see measuring.seat
 SEATS_STREAM = "seats"
 LOG_CALL_TIMEOUT_S = 3.0
+# A read returns at most 1,000 records; those of checkpoints are the largest, about 52 kB each.
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 MAX_RECORDS_PER_READ = 1000
 TRIMMED_HTTP_STATUS = 410
 
@@ -80,7 +83,7 @@
             async with self._session.request(
                 method, url, data=data, params=params, timeout=timeout
             ) as response:
-                body = await response.read()
+                body = await read_limited_body(response, MAX_RESPONSE_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise LogUnavailableError(f"{method} {stream}: {error!r}") from error
         if response.status == TRIMMED_HTTP_STATUS:
--- a/src/jasmineseam/standalone/vm_list_client.py
+++ b/src/jasmineseam/standalone/vm_list_client.py
@@ -14,8 +14,11 @@
 from ..exceptions import VmListUnavailableError
 from ..membership.addresses import MAX_PORT
 from ..membership.servers import Server
+from ..transport.response_bodies import read_limited_body
 
 VM_LIST_CALL_TIMEOUT_S = 3.0
+# far more than a list of tens of thousands of VMs takes
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 _logger = logbook.Logger("vm-list")
 
 
@@ -86,7 +89,7 @@
         timeout = aiohttp.ClientTimeout(total=VM_LIST_CALL_TIMEOUT_S)
         try:
             async with self._session.get(self._url, timeout=timeout) as response:
-                body = await response.read()
+                body = await read_limited_body(response, MAX_RESPONSE_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise VmListUnavailableError(repr(error)) from error
         if response.status != 200:
--- a/tests/raw_http.py
+++ b/tests/raw_http.py
@@ -17,13 +17,8 @@
 
 
 @contextlib.asynccontextmanager
-async def start_raw_server(start, repeated=b""):
-    """Run a server that responds to each request with raw bytes; yields its address.
-
-    :param start: the bytes that are sent first.
-    :param repeated: bytes that are sent without end after these; empty to send no more, and to
-        keep the connection open.
-    """
+async def start_raw_server(response):
+    """Run a server that sends some bytes for each request; yields its address."""
     tasks = set()
 
     async def serve(reader, writer):
@@ -31,11 +26,7 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 await reader.readuntil(b"\r\n\r\n")
-                writer.write(start)
-                while repeated:
-                    writer.write(repeated * (65_536 // len(repeated)))
-                    await writer.drain()
-                    await asyncio.sleep(0)
+                writer.write(response)
         writer.transport.abort()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -45,3 +36,40 @@
         server.close()
         for task in tasks:
             task.cancel()
+
+
+class EndlessServer:
+    """A server that sends bytes without end to each connection, once it has got a request.
+
+    :param start: the bytes that are sent first.
+    :param repeated: the bytes that follow again and again.
+    """
+
+    def __init__(self, start, repeated):
+        self._start = start
+        self._block = repeated * (65_536 // len(repeated))
+        self._tasks = set()
+        self.address = ""
+        self.sent_bytes = 0
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *error):
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._start)
+            while True:
+                writer.write(self._block)
+                self.sent_bytes += len(self._block)
+                await writer.drain()
+                await asyncio.sleep(0)
+        writer.transport.abort()
