Free a keyed response that is too large at once

What callers saw: nothing yet; 40 keyed requests to a server that sends bodies without end took 420 to 770 MB of a stand-alone entry.

Cause: the entry stops at 16 MB and refuses the response. The exception that it raises then is kept by the task that runs the request; its traceback keeps the frame, whose variable keeps the response. The task is a variable of a frame in the same traceback, so that only the garbage collector ends the cycle. Ruled out: requests at the same time, of which the entry admits five.

Change: the variable is deleted before the exception is raised.

--- a/src/jasmineseam/programs/entry_proxy.py
+++ b/src/jasmineseam/programs/entry_proxy.py
@@ -119,6 +119,9 @@
             pool.admission.finish_request(time.monotonic() - started_at)
         if isinstance(response, StreamingResponse):
             response.close()
+            # The task that runs the request keeps this frame by the traceback of its exception,
+            # until the garbage collector finds both.
+            del response
             raise UnknownOutcomeError("answer-too-large")
         return response
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -10,17 +10,21 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
 
 from jasmineseam.catalogue.entry import check_entry
 from jasmineseam.exceptions import PlatformError
 from jasmineseam.membership.servers import Server
 from jasmineseam.platform import store_client
 from jasmineseam.platform.store_client import StoreClient
+from jasmineseam.programs import entry_proxy
 from jasmineseam.programs.server_prober import ServerProber
 from jasmineseam.standalone.log_client import LogClient
 from jasmineseam.standalone.vm_list_client import VmListClient
 from jasmineseam.transport.response_protocol import open_connector
+from tests.fakes import EntryUnderTest
 from tests.raw_http import EndlessServer
+from tests.test_endless_data import read_memory_bytes
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 ENDLESS = {
@@ -40,6 +44,10 @@
 KERNEL_BYTES = 16 * 1024 * 1024
 
 
+def build_server(address, service):
+    return Server(server_id="s0", service=service, address=address, failure_domain="d")
+
+
 async def probe(address):
     entry = check_entry("t", {"service": "s", "owner": "t", "measuring": {"probes": 10}})
     async with aiohttp.ClientSession(connector=open_connector()) as session:
@@ -52,8 +60,7 @@
             servers=None,
             list_entries=list,
         )
-        server = Server(server_id="s0", service="s", address=address, failure_domain="d")
-        await prober._send_probe(entry, server)
+        await prober._send_probe(entry, build_server(address, "s"))
         assert prober.probe_results == []
 
 
@@ -96,3 +103,54 @@
             assert server.sent_bytes < READERS[read] + KERNEL_BYTES
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("keyed", [False, True])
+@pytest.mark.parametrize(("start", "repeated"), ENDLESS.values(), ids=ENDLESS)
+def test_entry_uses_bounded_memory_for_responses_without_end(start, repeated, keyed):
+    """A response without a key is forwarded while it arrives, and not buffered as a whole."""
+
+    async def send(entry, number):
+        headers = b"Host: fittings\r\nJasmineseam-Deadline-Ms: 600\r\nContent-Length: 0\r\n"
+        if keyed:
+            headers += b"Idempotency-Key: %b\r\n" % entry.make_key(f"o{number}").encode()
+        host, _, port = entry.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST /x HTTP/1.1\r\n" + headers + b"\r\n")
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(1.0):
+                while await reader.read(65_536):
+                    pass
+        writer.transport.abort()
+
+    async def main():
+        async with EntryUnderTest() as entry, EndlessServer(start, repeated) as server:
+            entry.replica.servers.replace_servers([build_server(server.address, "fittings")])
+            bytes_before = read_memory_bytes()
+            sends = [asyncio.ensure_future(send(entry, number)) for number in range(40)]
+            peak_bytes = 0
+            while not all(task.done() for task in sends):
+                await asyncio.sleep(0.02)
+                peak_bytes = max(peak_bytes, read_memory_bytes() - bytes_before)
+            # 192 MB of bodies, and the buffers of both ends of 40 connections
+            assert peak_bytes < 320_000_000
+
+    asyncio.run(main())
+
+
+def test_large_responses_to_keys_are_returned_whole():
+    """Guards against responses that are dropped although memory suffices for them."""
+    body = b"x" * (entry_proxy.MAX_KEYED_RESPONSE_BYTES - 1000)
+
+    async def respond(request):
+        return web.Response(body=body)
+
+    async def main():
+        async with EntryUnderTest(respond) as entry:
+            received = await asyncio.gather(
+                *(entry.send("POST", key=entry.make_key(f"o{number}")) for number in range(8))
+            )
+            assert [one.outcome for one in received] == ["answered"] * 8
+            assert all(one.body == body for one in received)
+
+    asyncio.run(main())
