Limit the memory of all responses that a stand-alone entry buffers

What callers saw: nothing yet; with 20 servers that send bodies without end, 40 keyed requests took 490 to 610 MB of a stand-alone entry.

Cause: each buffered body had a limit of 16 MB, all together had none.

Change: ResponseMemory, which the node has for this, drops the largest body beyond 192 MiB; its request gets an unknown outcome. A failed attempt frees what it has read at once, although its exception keeps the frame.

Result: two cases of test_entry_uses_bounded_memory_for_responses_without_end with 20 servers failed and pass.

--- a/src/jasmineseam/programs/attempt_sender.py
+++ b/src/jasmineseam/programs/attempt_sender.py
@@ -29,6 +29,7 @@
 from ..routing.backends import Backend
 from ..routing.pool import ServerPool
 from ..transport.response_heads import holds_status_line
+from ..transport.response_memory import ResponseMemory
 from ..transport.response_protocol import InvalidResponseError
 from ..transport.response_protocol import open_connector
 
@@ -36,6 +37,8 @@
 IDLE_CONNECTION_TIMEOUT_S = 15.0
 CONNECT_TIMEOUT_S = 0.5
 READ_CHUNK_BYTES = 65_536
+# for the bodies of all responses that are being buffered
+MAX_BUFFERED_BYTES = 192 * 1024 * 1024
 SERVER_ERROR_STATUSES = frozenset({500, 502, 503, 504})
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
@@ -104,6 +107,7 @@
         self._session = session
         self._on_server_leaving = on_server_leaving
         self._attempt_numbers = itertools.count(1)
+        self._response_memory = ResponseMemory(max_bytes=MAX_BUFFERED_BYTES)
         self.dropped_responses: collections.Counter[str] = collections.Counter()
         # servers that have responded since the last sync with the agent
         self.responding_server_ids: set[str] = set()
@@ -248,21 +252,30 @@
 
         Nothing is read if ``Content-Length`` already exceeds the limit. The response of a body
         that is too large stays open, so that the rest can be read from it.
+
+        :raises AttemptOutcomeUnknownError: if the body was evicted from memory.
         """
         length = response.content_length
         if length is not None and length > buffer_bytes and response.method != "HEAD":
             return _ReceivedBody(body=b"", complete=False)
-        if length is not None:
-            return _ReceivedBody(body=await response.read(), complete=True)
-        chunks = []
-        size = 0
-        while size <= buffer_bytes:
-            chunk = await response.content.read(READ_CHUNK_BYTES)
-            if not chunk:
-                return _ReceivedBody(body=b"".join(chunks), complete=True)
-            chunks.append(chunk)
-            size += len(chunk)
-        return _ReceivedBody(body=b"".join(chunks), complete=False)
+        buffer = self._response_memory.open(abort=response.close)
+        try:
+            while buffer.size <= buffer_bytes:
+                chunk = await response.content.read(READ_CHUNK_BYTES)
+                if not chunk and not buffer.evicted:
+                    return _ReceivedBody(body=buffer.get_body(), complete=True)
+                self._response_memory.append(buffer, chunk)
+                if buffer.evicted:
+                    raise AttemptOutcomeUnknownError("response-memory")
+            return _ReceivedBody(body=buffer.get_body(), complete=False)
+        except (aiohttp.ClientError, OSError) as error:
+            if not buffer.evicted:
+                raise
+            raise AttemptOutcomeUnknownError("response-memory") from error
+        finally:
+            self._response_memory.close(buffer)
+            # An exception that is raised here keeps this frame.
+            buffer.clear()
 
 
 def _build_response(response: aiohttp.ClientResponse, body: bytes) -> CallerResponse:
--- a/src/jasmineseam/transport/response_memory.py
+++ b/src/jasmineseam/transport/response_memory.py
@@ -29,9 +29,13 @@
     def evict(self) -> None:
         """Drop the data and close the connection."""
         self.evicted = True
+        self.clear()
+        self._abort()
+
+    def clear(self) -> None:
+        """Drop the data."""
         self._chunks.clear()
         self.size = 0
-        self._abort()
 
     def get_body(self) -> bytes:
         """Return the received data."""
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -44,8 +44,8 @@
 KERNEL_BYTES = 16 * 1024 * 1024
 
 
-def build_server(address, service):
-    return Server(server_id="s0", service=service, address=address, failure_domain="d")
+def build_server(address, service, number=0):
+    return Server(server_id=f"s{number}", service=service, address=address, failure_domain="d")
 
 
 async def probe(address):
@@ -105,9 +105,10 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("server_count", [1, 20])
 @pytest.mark.parametrize("keyed", [False, True])
 @pytest.mark.parametrize(("start", "repeated"), ENDLESS.values(), ids=ENDLESS)
-def test_entry_uses_bounded_memory_for_responses_without_end(start, repeated, keyed):
+def test_entry_uses_bounded_memory_for_responses_without_end(start, repeated, keyed, server_count):
     """A response without a key is forwarded while it arrives, and not buffered as a whole."""
 
     async def send(entry, number):
@@ -125,7 +126,9 @@
 
     async def main():
         async with EntryUnderTest() as entry, EndlessServer(start, repeated) as server:
-            entry.replica.servers.replace_servers([build_server(server.address, "fittings")])
+            entry.replica.servers.replace_servers(
+                [build_server(server.address, "fittings", n) for n in range(server_count)]
+            )
             bytes_before = read_memory_bytes()
             sends = [asyncio.ensure_future(send(entry, number)) for number in range(40)]
             peak_bytes = 0
