Answer all received requests of a connection in a planned stop

What callers saw: pipelined requests behind a running one got no response; their connection closed with the response to the one before, up to 2.7 of 3 s after they had been sent. They had not been run.

Cause: a connection of a node that stops was closed with the last response to a request that had been started, and requests behind a running one are not started while a node stops.

Change: the connection closes with the last response to a request that was received. Those behind are run in their turn, and refused at the end of the grace period like others.

Tests: two checks of tests/test_pipelining.py demanded that these requests are dropped, since their callers can repeat them. They now demand a response to each of the four requests, and that the connection closes with the last one.

--- a/src/jasmineseam/transport/caller_connections.py
+++ b/src/jasmineseam/transport/caller_connections.py
@@ -291,7 +291,7 @@
         return time.monotonic() if arrived_at is None else arrived_at
 
     def close_after_pending(self) -> None:
-        """Close the connection with the last response to a request that has been started."""
+        """Close the connection with the last response to a request that has been received."""
         self._closes_after_pending = True
 
     async def take_turn(
@@ -320,7 +320,7 @@
 
     def _close_if_last(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
         """Decide whether a response closes the connection, and cancel what is behind it then."""
-        if self._closes_after_pending and not self.early:
+        if self._closes_after_pending and not self.early and not self._messages:
             response.force_close()
         if self._input_ended and not self._messages:
             response.force_close()
--- a/tests/test_late_requests_at_stops.py
+++ b/tests/test_late_requests_at_stops.py
@@ -133,12 +133,20 @@
     return LateCaller(f"mid{number}"), [request[:-1], request[-1:]], 0.3
 
 
+def plan_pipelined(number, **options):
+    """Return three requests at once on a connection that is open when the stop begins."""
+    ids = [f"pipe{number}-{index}" for index in range(3)]
+    requests = b"".join(build_request(request_id, **options) for request_id in ids)
+    return LateCaller(*ids), [b"", requests], None
+
+
 PLANS = [
     plan_new,
     plan_kept,
     plan_split_head,
     plan_upload,
     plan_upload_in_grace,
+    plan_pipelined,
 ]
 
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -229,8 +229,8 @@
     run(scenario)
 
 
-def test_planned_stop_answers_started_requests_and_drops_the_others():
-    """Guards against a stop that closes a connection with requests at servers."""
+def test_planned_stop_answers_all_requests_that_were_received():
+    """Guards against a stop that closes a connection with requests that it has read."""
 
     async def scenario(server, handler, reader, writer):
         writer.write(
@@ -241,8 +241,8 @@
         await asyncio.sleep(0.2)
         writer.write(build_requests("d", seconds=0))
         server.close_idle_connections(0.0)
-        assert await read_responses(reader) == [(200, "a"), (200, "b")]
-        assert handler.started == ["a", "b"]
+        assert await read_responses(reader) == [(200, "a"), (200, "b"), (200, "c"), (200, "d")]
+        assert handler.started == ["a", "b", "c", "d"]
         assert not handler.cancelled
 
     run(scenario)
@@ -422,9 +422,12 @@
         writer.write(build_node_requests("/slow/1", "/slow/2", "/order/1", "/safe/1"))
         await wait_until(lambda: slow.running == 2, "both run")
         stop = asyncio.ensure_future(node.stop_gracefully())
-        assert await read_ids(reader) == ["/slow/1", "/slow/2"]
+        assert await read_ids(reader) == ["/slow/1", "/slow/2", "/order/1", "/safe/1"]
+        await wait_until(
+            lambda: not node._listeners.caller_server.connections, "the connection is closed"
+        )
         await stop
-        assert deployment.count_runs("/order/1") == deployment.count_runs("/safe/1") == 0
+        assert deployment.count_runs("/order/1") == deployment.count_runs("/safe/1") == 1
 
     run_scenario(scenario)
 
