Answer pipelined requests of a stand-alone entry in a planned stop

What callers saw: requests behind another one on their connection got no response when the entry stopped; the response before them closed it. They had not been run.

Cause: a draining entry closes a connection with each response, whatever it has received behind the request.

Change: it closes the connection with the last response to what it has received.

--- a/src/jasmineseam/programs/entry_proxy.py
+++ b/src/jasmineseam/programs/entry_proxy.py
@@ -34,6 +34,7 @@
 from ..routing.attempt_race import race_attempts
 from ..routing.pool import ServerPool
 from ..routing.server_selection import ServerSelector
+from ..transport.caller_connections import has_queued_requests
 from ..transport.request_body import read_body
 from .agent_replica import AgentReplica
 from .attempt_sender import SERVER_ERROR_STATUSES
@@ -372,7 +373,8 @@
             self.outcome_counts["answered", "whole"] += 1
         body = response.body if request.method != "HEAD" else None
         web_response = web.Response(status=response.status, headers=headers, body=body)
-        if self.draining or response.status in (400, 408, 413):
+        closes = self.draining and not has_queued_requests(request)
+        if closes or response.status in (400, 408, 413):
             web_response.force_close()
         return web_response
 
--- a/src/jasmineseam/transport/caller_connections.py
+++ b/src/jasmineseam/transport/caller_connections.py
@@ -563,6 +563,11 @@
         task.cancel()
 
 
+def has_queued_requests(request: web.BaseRequest) -> bool:
+    """Return whether further requests have been received on the connection of a request."""
+    return bool(request.protocol._messages)
+
+
 def _is_plain(message: RawRequestMessage) -> bool:
     """Return whether a request's end is known from its head, without an interim response."""
     if message.version < HttpVersion11 or message.upgrade or message.chunked:
--- a/tests/test_late_requests_at_stops.py
+++ b/tests/test_late_requests_at_stops.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from bench.cluster import Cluster
+from bench.cluster import send_json_request
 from tests.deployment import run_scenario
 from tests.test_relays import RESET
 from tests.test_relays import lose_path
@@ -22,14 +24,20 @@
 SLACK_S = 0.25
 HEAD = (
     "{method} {path} HTTP/1.1\r\nHost: {host}\r\nJasmineseam-Request-Id: {request_id}\r\n"
-    "Jasmineseam-Deadline-Ms: 9000\r\nContent-Length: {length}\r\n\r\n"
+    "Request-Id: {request_id}\r\nJasmineseam-Deadline-Ms: 9000\r\n{key}"
+    "Content-Length: {length}\r\n\r\n"
 )
 HOST = "fit.example"
 
 
-def build_request(request_id, method="POST", path="/order/1", body=b"", host=HOST):
+def build_request(request_id, method="POST", path="/order/1", body=b"", host=HOST, key_prefix=""):
     head = HEAD.format(
-        method=method, path=path, host=host, request_id=request_id, length=len(body)
+        method=method,
+        path=path,
+        host=host,
+        request_id=request_id,
+        key=f"Idempotency-Key: {key_prefix}.{request_id}\r\n" if key_prefix else "",
+        length=len(body),
     )
     return head.encode() + body
 
@@ -150,11 +158,11 @@
 ]
 
 
-def start_callers(address, plan, stop_at, grace_s, **options):
+def start_callers(address, plan, stop_at, grace_s, *, moments=MOMENTS, **options):
     """Start a caller for each moment; return the callers and their tasks."""
     callers = []
     tasks = []
-    for number, moment in enumerate(MOMENTS):
+    for number, moment in enumerate(moments):
         caller, parts, opened = plan(number, **options)
         last_at = stop_at + moment * grace_s
         if opened is None:
@@ -239,3 +247,49 @@
             assert sum(caller.count_answers() for caller in callers) > 0
 
     run_scenario(scenario)
+
+
+# seconds after SIGTERM; the entry closes its listener after 2 s, and ends 1.5 s after the last of
+# its requests
+ENTRY_MOMENTS = [0.1, 1.9, 1.95, 2.0, 2.05, 2.1, 2.4, 3.0, 3.5, 4.0, 4.5, 5.0, 5.3, 5.5, 5.6]
+
+
+@pytest.mark.parametrize("keyed", [False, True])
+def test_entry_leaves_no_late_request_without_a_response(keyed):
+    with Cluster(name="late-requests") as cluster:
+        cluster.start_servers("fittings", ["fit-0", "fit-1"], "--mean-s", "0.2")
+        vm = cluster.add_vm(0, 1)
+        cluster.start_vm(vm)
+        cluster.wait_until_entries_listed(1)
+        assert cluster.publish(vm, {"service": "fittings", "owner": "k"})["exit_code"] == 0
+        named = send_json_request(vm.locator_address, "/v1/entries")["entries"]
+        prefix = named[0]["key_prefix"]
+
+        async def load():
+            stop_at = time.monotonic() + 0.5
+            callers = []
+            tasks = []
+            for plan in PLANS:
+                added = start_callers(
+                    vm.http_address,
+                    plan,
+                    stop_at,
+                    1.0,
+                    moments=ENTRY_MOMENTS,
+                    host="fittings",
+                    key_prefix=prefix if keyed else "",
+                )
+                callers += added[0]
+                tasks += added[1]
+            await asyncio.sleep(stop_at - time.monotonic())
+            process = vm.programs["entry"]
+            process.terminate()
+            assert await asyncio.to_thread(process.wait, 30) == 0
+            await asyncio.gather(*tasks)
+            return callers
+
+        callers = asyncio.run(load())
+        runs = cluster.count_executions()
+        lost = find_lost(callers, lambda request_id: runs[request_id] > 0)
+        assert lost == [], cluster.read_logs()[-3000:]
+        assert sum(caller.count_answers() for caller in callers) > 50
