--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,10 @@
 MINUTES ?= 2
 
 # Files of the groups of tests that run beside each other, each in one process. The groups take
-# about equally long; the group others has all other files. The groups nodes, programs, input and responses
-# mostly wait, so ten groups need about seven cores.
-TEST_GROUPS := evacuation spreading limits cold paths nodes programs input responses
+# about equally long; the group others has all other files. The groups nodes, programs, input, responses
+# and stops mostly wait, so eleven groups need about seven cores.
+TEST_GROUPS := evacuation spreading limits cold paths nodes programs input responses \
+	stops
 evacuation := tests/test_evacuation.py
 spreading := tests/test_locator_freshness.py tests/test_regions.py tests/test_table_spreading.py
 limits := tests/test_request_limits.py tests/test_quotas.py
@@ -17,11 +18,12 @@
 paths := tests/test_lost_paths.py tests/test_probes_by_demand.py tests/test_fleet.py
 nodes := tests/test_endless_data.py tests/test_explanation.py tests/test_key_revocation.py \
 	tests/test_node.py tests/test_node_program.py tests/test_relays.py tests/test_store_restore.py
-programs := tests/test_planned_stops.py tests/test_programs.py tests/test_node_soak.py
-input := tests/test_malformed_input.py tests/test_odd_records.py tests/test_stop_answers.py \
-	tests/test_truncated_heads.py
+programs := tests/test_programs.py tests/test_node_soak.py
+input := tests/test_malformed_input.py tests/test_odd_records.py tests/test_truncated_heads.py
 responses := tests/test_endless_responses.py tests/test_invalid_heads.py \
 	tests/test_response_scanner.py
+stops := tests/test_late_requests_at_stops.py tests/test_planned_stops.py \
+	tests/test_stop_answers.py
 
 .PHONY: demo demo-standalone test $(TEST_GROUPS:%=test-%) test-others lint format soak node-soak bench slopes lock clean
 
@@ -38,7 +40,7 @@
 	$(BIN)/python -m bench.demo
 
 test: $(STAMP)
-	$(MAKE) --no-print-directory --jobs 10 --output-sync=target $(TEST_GROUPS:%=test-%) test-others
+	$(MAKE) --no-print-directory --jobs 11 --output-sync=target $(TEST_GROUPS:%=test-%) test-others
 
 $(TEST_GROUPS:%=test-%): test-%:
 	$(BIN)/python -m pytest --durations=5 $($*)
