Take no reset response for a whole one at a stand-alone entry

What callers saw: a success with a part of the body and its length as the Content-Length, after a server had sent a response without a length and reset the connection within the body.

Cause: aiohttp's client completes such a body at any end of the connection. Only the node's connections to servers took a reset for an error.

Change: ResponseProtocol has this rule now, so that it holds for all readers.

--- a/src/jasmineseam/transport/response_protocol.py
+++ b/src/jasmineseam/transport/response_protocol.py
@@ -26,7 +26,12 @@
 
 
 class ResponseProtocol(ResponseHandler):
-    """aiohttp's protocol, which ends the connection at an invalid head and at endless framing."""
+    """aiohttp's protocol, with stricter handling of connections that send invalid data.
+
+    An invalid head, and framing without end, end the connection. A connection reset ends an
+    incomplete body with an error; aiohttp completes a body that is delimited by the close of the
+    connection even on a reset.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
@@ -72,6 +77,13 @@
         elif self._received_bytes > MAX_FRAMING_BYTES + 2 * self._count_body_bytes():
             self._fail(aiohttp.ClientPayloadError("too many bytes outside of bodies"))
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End an incomplete body with an error if the connection was reset."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError("connection reset"), exc)
+        super().connection_lost(exc)
+
     def _count_body_bytes(self) -> int:
         current = 0 if self._current_body is None else self._current_body.total_bytes
         return self._finished_body_bytes + current
--- a/src/jasmineseam/transport/server_connection.py
+++ b/src/jasmineseam/transport/server_connection.py
@@ -56,12 +56,7 @@
 
 
 class _ConnectionProtocol(ResponseProtocol):
-    """Protocol with stricter handling of connections that send invalid data.
-
-    A connection reset ends an incomplete body with an error; aiohttp completes a body that is
-    delimited by the close of the connection even on a reset. Data that arrives while no response
-    is expected closes the connection.
-    """
+    """Protocol that closes the connection when data arrives while no response is expected."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
@@ -83,12 +78,6 @@
             return
         super().data_received(data)
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError("connection reset"), exc)
-        super().connection_lost(exc)
-
 
 class IncomingResponse(t.NamedTuple):
     """A response whose head has been received.
--- a/tests/test_entry_proxy.py
+++ b/tests/test_entry_proxy.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import gc
+import socket
+import struct
 
 import pytest
 from aiohttp import web
@@ -69,6 +71,16 @@
     return web.Response()
 
 
+async def reset_without_length(request):
+    """Send a response that ends with the connection, and reset the connection in its body."""
+    request.transport.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+    await asyncio.sleep(0.02)
+    tcp_socket = request.transport.get_extra_info("socket")
+    tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    request.transport.abort()
+    return web.Response()
+
+
 def refuse(reason):
     async def step(request):
         return web.Response(status=503, headers={"Backend-Refusal": reason})
@@ -110,6 +122,8 @@
         (echo_wrong_attempt, "POST", "unknown", 502, 1),
         (merge_heads, "GET", "answered", 200, 2),
         (merge_heads, "POST", "unknown", 502, 1),
+        (reset_without_length, "GET", "answered", 200, 2),
+        (reset_without_length, "POST", "unknown", 502, 1),
         (fail, "POST", "answered", 500, 1),
         (refuse("shed"), "POST", "answered", 200, 2),
         (refuse("draining"), "POST", "answered", 200, 2),
