--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -12,18 +12,19 @@
 import pytest
 from aiohttp import web
 
-from jasmineseam.catalogue.entry import check_entry
+from jasmineseam.exceptions import AttemptOutcomeUnknownError
 from jasmineseam.exceptions import PlatformError
 from jasmineseam.membership.servers import Server
 from jasmineseam.platform import store_client
 from jasmineseam.platform.store_client import StoreClient
 from jasmineseam.programs import entry_proxy
-from jasmineseam.programs.server_prober import ServerProber
 from jasmineseam.standalone.log_client import LogClient
 from jasmineseam.standalone.vm_list_client import VmListClient
 from jasmineseam.transport.response_protocol import open_connector
+from tests.deployment import run_scenario
 from tests.fakes import EntryUnderTest
 from tests.raw_http import EndlessServer
+from tests.stand_alone_probe import send_stand_alone_probe
 from tests.test_endless_data import read_memory_bytes
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -49,19 +50,7 @@
 
 
 async def probe(address):
-    entry = check_entry("t", {"service": "s", "owner": "t", "measuring": {"probes": 10}})
-    async with aiohttp.ClientSession(connector=open_connector()) as session:
-        prober = ServerProber(
-            seat_number=0,
-            seat_count=1,
-            holder="a",
-            log=None,
-            session=session,
-            servers=None,
-            list_entries=list,
-        )
-        await prober._send_probe(entry, build_server(address, "s"))
-        assert prober.probe_results == []
+    assert await send_stand_alone_probe(address) == []
 
 
 async def read_log(address):
@@ -105,6 +94,25 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(("start", "repeated"), ENDLESS.values(), ids=ENDLESS)
+def test_probe_of_a_node_stops_at_a_response_without_end(start, repeated):
+    async def scenario(deployment):
+        deployment.write_configuration()
+        await deployment.add_instance("i-1")
+        node = await deployment.add_node("vm-1")
+        node.prober.max_probes_per_s = 0.0
+        (load,) = node.gateway.dispatchers.get("fit", None).loads.values()
+        async with EndlessServer(start, repeated) as server:
+            load.address = server.address
+            with contextlib.suppress(AttemptOutcomeUnknownError, TimeoutError):
+                async with asyncio.timeout(1.0):
+                    await node.prober.send_probe(node.gateway.dispatchers.get("fit", None), load)
+            assert server.sent_bytes < KERNEL_BYTES
+            assert node.gateway.connections.count_idle() <= 1
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("server_count", [1, 20])
 @pytest.mark.parametrize("keyed", [False, True])
 @pytest.mark.parametrize(("start", "repeated"), ENDLESS.values(), ids=ENDLESS)
--- a/tests/test_invalid_heads.py
+++ b/tests/test_invalid_heads.py
@@ -19,6 +19,7 @@
 from jasmineseam.exceptions import PeerReplyLostError
 from jasmineseam.exceptions import StoreUnavailableError
 from jasmineseam.exceptions import VmListUnavailableError
+from jasmineseam.measuring.load_reports import LOAD_HEADER
 from jasmineseam.peers.messages import ForwardedResponse
 from jasmineseam.peers.messages import RelayedResponse
 from jasmineseam.peers.messages import decode_message
@@ -35,6 +36,7 @@
 from tests.fakes import EntryUnderTest
 from tests.raw_http import receive_raw
 from tests.raw_http import start_raw_server
+from tests.stand_alone_probe import send_stand_alone_probe
 
 BODY = b"hello"
 # invalid according to RFC 9110, section 15; no request asks for an upgrade (101)
@@ -343,6 +345,18 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    "head", [build_head(), *INVALID_HEADS.values()], ids=["valid", *INVALID_HEADS]
+)
+def test_stand_alone_probe_with_an_invalid_head_has_no_result(head):
+    async def main():
+        reporting = head.replace(b"\r\n\r\n", b"\r\n%b: 1/4\r\n\r\n" % LOAD_HEADER.encode())
+        async with start_raw_server(reporting + BODY) as address:
+            return await send_stand_alone_probe(address)
+
+    assert len(asyncio.run(main())) == (head == build_head())
+
+
 INVALID_FORWARDED_HEADS = {
     "000": (0, []),
     "101": (101, []),
