Check merged heads where all heads are checked, and give broken bytes one reason

Seen on reading the change again: two readers had a check of their own for heads that consist of two, behind the check that all readers share, and the prober and the platform's clients had none; and bytes that only the parser refuses, or framing without end, were reported as no-response, like a connection that was lost.

Change: response_heads.py says why a head is invalid, for every reader. InvalidResponseError names the reason, also for errors of the parser, at a node and at a stand-alone entry: response-invalid or heads-merged. Such a response is no sign of a lost path or a crashed server any more, since the server has sent something.

--- a/src/jasmineseam/node/relays.py
+++ b/src/jasmineseam/node/relays.py
@@ -35,6 +35,7 @@
 from ..routing.dispatch import REASON_NO_PATH
 from ..routing.dispatch import REASON_NO_SERVER
 from ..routing.dispatch import Dispatcher
+from ..transport.response_heads import REASON_INVALID
 from ..transport.response_heads import is_forwardable
 from .authentication import REASON_OUTDATED
 from .authentication import REASON_UNCONFIRMED
@@ -251,7 +252,7 @@
         if not reply.reason:
             headers = _decode_headers(reply.headers)
             if not is_forwardable(reply.status, headers.items()):
-                raise UnknownOutcomeError("response-invalid", 502)
+                raise UnknownOutcomeError(REASON_INVALID, 502)
             head = self._header_codec.decode_response(reply.status, headers)
             return ServerResponse(reply.status, headers, reply.body, head)
         if reply.may_have_run:
--- a/src/jasmineseam/programs/attempt_sender.py
+++ b/src/jasmineseam/programs/attempt_sender.py
@@ -28,7 +28,6 @@
 from ..requests.outcome import CallerResponse
 from ..routing.backends import Backend
 from ..routing.pool import ServerPool
-from ..transport.response_heads import holds_status_line
 from ..transport.response_memory import ResponseMemory
 from ..transport.response_protocol import InvalidResponseError
 from ..transport.response_protocol import open_connector
@@ -177,14 +176,14 @@
             pool.record_failed_attempt(backend)
             raise AttemptNotRunError("connect") from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise AttemptOutcomeUnknownError(_get_failure_reason(error)) from error
+            raise self._build_unknown_outcome_error(error) from error
         completed = False
         try:
             self._process_response_head(pool, backend, response, attempt_number)
             received = await self._read_body(response, buffer_bytes)
             completed = True
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise AttemptOutcomeUnknownError(_get_failure_reason(error)) from error
+            raise self._build_unknown_outcome_error(error) from error
         finally:
             if not completed:
                 # the connection of a response that was not read to its end is never reused
@@ -202,6 +201,12 @@
             on_close=lambda: backend.finish_request(token, time.monotonic()),
         )
 
+    def _build_unknown_outcome_error(self, error: Exception) -> AttemptOutcomeUnknownError:
+        reason = _get_failure_reason(error)
+        if isinstance(error, InvalidResponseError):
+            self.dropped_responses[reason] += 1
+        return AttemptOutcomeUnknownError(reason)
+
     def _build_headers(
         self, inbound: InboundRequest, attempt_number: str, remaining_s: float, extra: bool
     ) -> CIMultiDict:
@@ -221,9 +226,6 @@
         attempt_number: str,
     ) -> None:
         headers = response.headers
-        if holds_status_line(response.reason, response.raw_headers):
-            self.dropped_responses["heads-merged"] += 1
-            raise AttemptOutcomeUnknownError("heads-merged")
         echoed = headers.get(ATTEMPT_HEADER)
         if echoed is not None and echoed != attempt_number:
             # the response belongs to another attempt
@@ -289,7 +291,7 @@
     if isinstance(error, TimeoutError):
         return "deadline"
     if isinstance(error, InvalidResponseError):
-        return "answer-invalid"
+        return error.reason
     if isinstance(error, aiohttp.ClientPayloadError):
         return "answer-cut"
     if isinstance(error, aiohttp.ServerDisconnectedError):
--- a/src/jasmineseam/programs/keyed_requests.py
+++ b/src/jasmineseam/programs/keyed_requests.py
@@ -37,6 +37,7 @@
 from ..requests.outcome import CallerResponse
 from ..requests.outcome import build_not_run_response
 from ..requests.outcome import build_unknown_outcome_response
+from ..transport.response_heads import REASON_INVALID
 from ..transport.response_heads import is_forwardable
 from .agent_replica import AgentReplica
 
@@ -102,7 +103,7 @@
         response = await self._run_anywhere(inbound)
         # The home may be of an earlier build, as may be the process that recorded the response.
         if not is_forwardable(response.status, response.headers):
-            raise UnknownOutcomeError("answer-invalid")
+            raise UnknownOutcomeError(REASON_INVALID)
         return response
 
     async def _run_anywhere(self, inbound: InboundRequest) -> CallerResponse:
--- a/src/jasmineseam/transport/response_protocol.py
+++ b/src/jasmineseam/transport/response_protocol.py
@@ -11,9 +11,11 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import HttpProcessingError
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from .response_heads import REASON_INVALID
 from .response_scanner import ResponseScanner
 
 # Per request, a server may send this many bytes outside of bodies (heads, chunk sizes, trailers)
@@ -22,7 +24,16 @@
 
 
 class InvalidResponseError(aiohttp.ClientError):
-    """A server has sent bytes that are no valid response."""
+    """A server has sent bytes that are no valid response.
+
+    :param reason: :data:`~.response_heads.REASON_INVALID` or
+        :data:`~.response_heads.REASON_HEADS_MERGED`.
+    :param detail: what is invalid.
+    """
+
+    def __init__(self, reason: str, detail: str) -> None:
+        self.reason = reason
+        super().__init__(f"{reason}: {detail}")
 
 
 class ResponseProtocol(ResponseHandler):
@@ -56,7 +67,7 @@
         """Record the body of a new response, and queue the response."""
         if not self._scanner.valid_heads:
             # The parser has found a head where the scanner has not.
-            self._fail(InvalidResponseError("response with an unchecked head"))
+            self._fail(InvalidResponseError(REASON_INVALID, "unchecked head"))
             return
         self._scanner.valid_heads -= 1
         self._finished_body_bytes = self._count_body_bytes()
@@ -73,9 +84,15 @@
         if valid_size:
             super().data_received(data[:valid_size])
         if valid_size < len(data):
-            self._fail(InvalidResponseError("invalid head"))
+            self._fail(InvalidResponseError(self._scanner.fault, "invalid head"))
         elif self._received_bytes > MAX_FRAMING_BYTES + 2 * self._count_body_bytes():
-            self._fail(aiohttp.ClientPayloadError("too many bytes outside of bodies"))
+            self._fail(InvalidResponseError(REASON_INVALID, "too many bytes outside of bodies"))
+
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """End the expected response with an error; one of the parser means an invalid response."""
+        if isinstance(exc, HttpProcessingError):
+            exc = InvalidResponseError(REASON_INVALID, exc.message or "not parsable")
+        super().set_exception(exc, *cause)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End an incomplete body with an error if the connection was reset."""
--- a/src/jasmineseam/transport/response_scanner.py
+++ b/src/jasmineseam/transport/response_scanner.py
@@ -10,16 +10,12 @@
 import enum
 import re
 
-from .response_heads import FIELD_NAME
-from .response_heads import STATUS
-from .response_heads import TEXT
+from .response_heads import REASON_INVALID
+from .response_heads import find_head_fault
 
 # size of the largest response head
 MAX_HEAD_BYTES = 262_144
 _HEAD_END = re.compile(rb"\n\r?\n")
-_HEAD = re.compile(
-    rb"HTTP/1\.[01] %b(?: %b)?\r?\n(?:%b:%b\r?\n)*\r?\n" % (STATUS, TEXT, FIELD_NAME, TEXT)
-)
 _BODILESS_STATUS = re.compile(rb"HTTP/1\.[01] (?:1..|204|304)")
 _CHUNKED = re.compile(rb"\ntransfer-encoding:[^\n]*chunked[ \t]*\r?\n", re.IGNORECASE)
 _CONTENT_LENGTH = re.compile(rb"\ncontent-length:[ \t]*([0-9]{1,19})[ \t]*\r?\n", re.IGNORECASE)
@@ -46,7 +42,7 @@
     (37, 37)
     """
 
-    __slots__ = ("_has_bodies", "_left", "_part", "_pending", "valid_heads")
+    __slots__ = ("_has_bodies", "_left", "_part", "_pending", "fault", "valid_heads")
 
     def __init__(self, *, has_bodies: bool = True) -> None:
         self._has_bodies = has_bodies
@@ -57,6 +53,8 @@
         self._pending = bytearray()
         # number of heads that are valid, and that the parser has not returned yet
         self.valid_heads = 0
+        # why the first invalid head is invalid, empty before there is one
+        self.fault = ""
 
     def scan(self, data: bytes) -> int:
         """Follow received data.
@@ -95,10 +93,14 @@
         self._pending += data[position : position + MAX_HEAD_BYTES]
         match = _HEAD_END.search(self._pending, max(0, size_before - 2))
         if match is None:
-            return len(data) if len(self._pending) < MAX_HEAD_BYTES else None
+            if len(self._pending) < MAX_HEAD_BYTES:
+                return len(data)
+            self.fault = REASON_INVALID
+            return None
         head = bytes(self._pending[: match.end()])
         self._pending.clear()
-        if _HEAD.fullmatch(head) is None:
+        self.fault = find_head_fault(head)
+        if self.fault:
             return None
         self.valid_heads += 1
         self._begin_body(head)
--- a/src/jasmineseam/transport/server_connection.py
+++ b/src/jasmineseam/transport/server_connection.py
@@ -22,7 +22,6 @@
 from ..exceptions import AttemptNotRunError
 from ..exceptions import AttemptOutcomeUnknownError
 from .keepalive import enable_keepalive
-from .response_heads import holds_status_line
 from .response_memory import ResponseMemory
 from .response_protocol import InvalidResponseError
 from .response_protocol import ResponseProtocol
@@ -167,11 +166,9 @@
             try:
                 message, payload = await self._protocol.read()
             except InvalidResponseError as error:
-                raise AttemptOutcomeUnknownError("response-invalid") from error
+                raise AttemptOutcomeUnknownError(error.reason) from error
             except _TRANSPORT_ERRORS as error:
                 raise AttemptOutcomeUnknownError("no-response") from error
-            if holds_status_line(message.reason, message.raw_headers):
-                raise AttemptOutcomeUnknownError("heads-merged")
             if 100 <= message.code < 200:
                 continue
             head = decode(message.code, message.headers)
