Read buffered bodies by one function at a node and at a stand-alone entry

Seen on reading the change again: the stand-alone entry had got a copy of the node's reading within the memory of all responses. Both use read_shared_body now, so that a failed attempt of a node frees what it has read at once, too.

Result: the tests of endless, truncated and repeated responses, of the entry and of heads pass.

--- a/src/jasmineseam/programs/attempt_sender.py
+++ b/src/jasmineseam/programs/attempt_sender.py
@@ -28,6 +28,7 @@
 from ..requests.outcome import CallerResponse
 from ..routing.backends import Backend
 from ..routing.pool import ServerPool
+from ..transport.response_bodies import read_shared_body
 from ..transport.response_memory import ResponseMemory
 from ..transport.response_protocol import InvalidResponseError
 from ..transport.response_protocol import open_connector
@@ -35,7 +36,6 @@
 MAX_CONNECTIONS_PER_SERVER = 40
 IDLE_CONNECTION_TIMEOUT_S = 15.0
 CONNECT_TIMEOUT_S = 0.5
-READ_CHUNK_BYTES = 65_536
 # for the bodies of all responses that are being buffered
 MAX_BUFFERED_BYTES = 192 * 1024 * 1024
 SERVER_ERROR_STATUSES = frozenset({500, 502, 503, 504})
@@ -260,24 +260,10 @@
         length = response.content_length
         if length is not None and length > buffer_bytes and response.method != "HEAD":
             return _ReceivedBody(body=b"", complete=False)
-        buffer = self._response_memory.open(abort=response.close)
-        try:
-            while buffer.size <= buffer_bytes:
-                chunk = await response.content.read(READ_CHUNK_BYTES)
-                if not chunk and not buffer.evicted:
-                    return _ReceivedBody(body=buffer.get_body(), complete=True)
-                self._response_memory.append(buffer, chunk)
-                if buffer.evicted:
-                    raise AttemptOutcomeUnknownError("response-memory")
-            return _ReceivedBody(body=buffer.get_body(), complete=False)
-        except (aiohttp.ClientError, OSError) as error:
-            if not buffer.evicted:
-                raise
-            raise AttemptOutcomeUnknownError("response-memory") from error
-        finally:
-            self._response_memory.close(buffer)
-            # An exception that is raised here keeps this frame.
-            buffer.clear()
+        body, complete = await read_shared_body(
+            response.content, buffer_bytes, self._response_memory, response.close
+        )
+        return _ReceivedBody(body=body, complete=complete)
 
 
 def _build_response(response: aiohttp.ClientResponse, body: bytes) -> CallerResponse:
--- a/src/jasmineseam/transport/server_connection.py
+++ b/src/jasmineseam/transport/server_connection.py
@@ -22,6 +22,7 @@
 from ..exceptions import AttemptNotRunError
 from ..exceptions import AttemptOutcomeUnknownError
 from .keepalive import enable_keepalive
+from .response_bodies import read_shared_body
 from .response_memory import ResponseMemory
 from .response_protocol import InvalidResponseError
 from .response_protocol import ResponseProtocol
@@ -191,22 +192,12 @@
         """
         if response.body is EMPTY_PAYLOAD:
             return b"", True
-        buffer = memory.open(abort=self.close)
         try:
-            while chunk := await response.body.readany():
-                memory.append(buffer, chunk)
-                if buffer.evicted:
-                    raise AttemptOutcomeUnknownError("response-memory")
-                if buffer.size > limit:
-                    return buffer.get_body(), False
+            return await read_shared_body(response.body, limit, memory, self.close)
+        except InvalidResponseError as error:
+            raise AttemptOutcomeUnknownError(error.reason) from error
         except _TRANSPORT_ERRORS as error:
-            reason = "response-memory" if buffer.evicted else "response-cut"
-            raise AttemptOutcomeUnknownError(reason) from error
-        finally:
-            memory.close(buffer)
-        if buffer.evicted:
-            raise AttemptOutcomeUnknownError("response-memory")
-        return buffer.get_body(), True
+            raise AttemptOutcomeUnknownError("response-cut") from error
 
     def end_exchange(self) -> None:
         """Mark the last response as complete; further data closes the connection."""
