--- a/src/jasmineseam/programs/keyed_requests.py
+++ b/src/jasmineseam/programs/keyed_requests.py
@@ -100,13 +100,13 @@
         :raises NotRunError: if the request was not run.
         :raises UnknownOutcomeError: if the request may have been run.
         """
-        response = await self._run_anywhere(inbound)
+        response = await self._run_here_or_at_home(inbound)
         # The home may be of an earlier build, as may be the process that recorded the response.
         if not is_forwardable(response.status, response.headers):
             raise UnknownOutcomeError(REASON_INVALID)
         return response
 
-    async def _run_anywhere(self, inbound: InboundRequest) -> CallerResponse:
+    async def _run_here_or_at_home(self, inbound: InboundRequest) -> CallerResponse:
         key = parse_idempotency_key(inbound.key)
         ledger = self._ledgers.get(key.home)
         if ledger is None:
--- a/src/jasmineseam/transport/response_scanner.py
+++ b/src/jasmineseam/transport/response_scanner.py
@@ -1,8 +1,8 @@
 """Boundaries of the responses on a connection, and the check of each response's head.
 
-aiohttp's parsers are lenient. They accept any three-digit status, append a line that begins with a
-blank to the field before it, and one of them accepts a blank behind some field names. What they
-return does not show this, so the check reads the bytes before they are parsed.
+aiohttp's parsers are lenient. They accept any three-digit status, append folded lines to the field
+before them, and one of them accepts a space behind some field names. What they return does not
+show this, so the check reads the bytes before they are parsed.
 """
 
 from __future__ import annotations
@@ -143,12 +143,12 @@
         self._pending += data[position : end + 1]
         line = bytes(self._pending)
         self._pending.clear()
-        is_blank = not line.strip(b"\r\n")
+        is_empty = not line.strip(b"\r\n")
         if self._part is _Part.TRAILER:
-            if is_blank:
+            if is_empty:
                 self._part = _Part.HEAD
             return end + 1
-        if is_blank:
+        if is_empty:
             # the end of the chunk before
             return end + 1
         size = _CHUNK_SIZE.match(line)
--- a/tests/raw_http.py
+++ b/tests/raw_http.py
@@ -16,38 +16,16 @@
         writer.transport.abort()
 
 
-@contextlib.asynccontextmanager
-async def start_raw_server(response):
-    """Run a server that sends some bytes for each request; yields its address."""
-    tasks = set()
+class RawServer:
+    """A server that sends raw bytes for each request.
 
-    async def serve(reader, writer):
-        tasks.add(asyncio.current_task())
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                await reader.readuntil(b"\r\n\r\n")
-                writer.write(response)
-        writer.transport.abort()
-
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    try:
-        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    finally:
-        server.close()
-        for task in tasks:
-            task.cancel()
-
-
-class EndlessServer:
-    """A server that sends bytes without end to each connection, once it has got a request.
-
-    :param start: the bytes that are sent first.
-    :param repeated: the bytes that follow again and again.
+    :param response: the bytes that are sent first.
+    :param repeated: bytes that follow again and again; empty to send no more.
     """
 
-    def __init__(self, start, repeated):
-        self._start = start
-        self._block = repeated * (65_536 // len(repeated))
+    def __init__(self, response, repeated=b""):
+        self._response = response
+        self._block = repeated * (65_536 // len(repeated)) if repeated else b""
         self._tasks = set()
         self.address = ""
         self.sent_bytes = 0
@@ -65,11 +43,12 @@
     async def _serve(self, reader, writer):
         self._tasks.add(asyncio.current_task())
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(self._start)
             while True:
-                writer.write(self._block)
-                self.sent_bytes += len(self._block)
-                await writer.drain()
-                await asyncio.sleep(0)
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(self._response)
+                while self._block:
+                    writer.write(self._block)
+                    self.sent_bytes += len(self._block)
+                    await writer.drain()
+                    await asyncio.sleep(0)
         writer.transport.abort()
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -23,7 +23,7 @@
 from jasmineseam.transport.response_protocol import open_connector
 from tests.deployment import run_scenario
 from tests.fakes import EntryUnderTest
-from tests.raw_http import EndlessServer
+from tests.raw_http import RawServer
 from tests.stand_alone_probe import send_stand_alone_probe
 from tests.test_endless_data import read_memory_bytes
 
@@ -84,7 +84,7 @@
 @pytest.mark.parametrize("read", READERS)
 def test_reader_stops_at_a_response_without_end(read, start, repeated):
     async def main():
-        async with EndlessServer(start, repeated) as server:
+        async with RawServer(start, repeated) as server:
             started_at = time.monotonic()
             with contextlib.suppress(TimeoutError):
                 await read(server.address)
@@ -102,7 +102,7 @@
         node = await deployment.add_node("vm-1")
         node.prober.max_probes_per_s = 0.0
         (load,) = node.gateway.dispatchers.get("fit", None).loads.values()
-        async with EndlessServer(start, repeated) as server:
+        async with RawServer(start, repeated) as server:
             load.address = server.address
             with contextlib.suppress(AttemptOutcomeUnknownError, TimeoutError):
                 async with asyncio.timeout(1.0):
@@ -133,7 +133,7 @@
         writer.transport.abort()
 
     async def main():
-        async with EntryUnderTest() as entry, EndlessServer(start, repeated) as server:
+        async with EntryUnderTest() as entry, RawServer(start, repeated) as server:
             entry.replica.servers.replace_servers(
                 [build_server(server.address, "fittings", n) for n in range(server_count)]
             )
--- a/tests/test_invalid_heads.py
+++ b/tests/test_invalid_heads.py
@@ -34,14 +34,15 @@
 from tests.deployment import run_scenario
 from tests.deployment import wait_until
 from tests.fakes import EntryUnderTest
+from tests.loop_stalls import print_longest_stall
+from tests.raw_http import RawServer
 from tests.raw_http import receive_raw
-from tests.raw_http import start_raw_server
 from tests.stand_alone_probe import send_stand_alone_probe
 
 BODY = b"hello"
 # invalid according to RFC 9110, section 15; no request asks for an upgrade (101)
 INVALID_STATUSES = ["000", "001", "099", "101", "600", "700", "999"]
-CONTROL_BYTES = [byte for byte in (*range(0x20), 0x7F) if byte not in b"\t\n\r"]
+CONTROL_CHARACTERS = [byte for byte in (*range(0x20), 0x7F) if byte not in b"\t\n\r"]
 REQUEST = (
     b"%b %b HTTP/1.1\r\nHost: %b\r\nJasmineseam-Request-Id: r1\r\n"
     b"Jasmineseam-Deadline-Ms: 400\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -61,7 +62,7 @@
 
 
 def build_invalid_names():
-    """Return lines whose field name holds a blank or a control byte, by description."""
+    """Return lines whose field name holds whitespace or a control character, by description."""
     lines = {}
     for byte in (0x00, 0x01, 0x08, 0x09, 0x0B, 0x1F, 0x20, 0x7F):
         one = bytes([byte])
@@ -77,7 +78,7 @@
 
 
 INVALID_NAMES = build_invalid_names()
-INVALID_VALUES = {f"{byte:02x}": b"X-Value: a%cb" % byte for byte in CONTROL_BYTES}
+INVALID_VALUES = {f"{byte:02x}": b"X-Value: a%cb" % byte for byte in CONTROL_CHARACTERS}
 
 
 @pytest.fixture(params=["extension", "python"])
@@ -114,8 +115,9 @@
 
     async def scenario(deployment):
         node = await start_node(deployment, "i-1")
-        for description, head in heads.items():
-            received[description] = await ask_node(deployment, node, head + body)
+        async with print_longest_stall():
+            for description, head in heads.items():
+                received[description] = await ask_node(deployment, node, head + body)
 
     run_scenario(scenario)
     return received
@@ -126,7 +128,8 @@
 
     async def main():
         received = {}
-        async with EntryUnderTest(send_raw, limits={"hedge": False}) as entry:
+        entry = EntryUnderTest(send_raw, limits={"hedge": False})
+        async with entry, print_longest_stall():
             for description, head in heads.items():
                 send_raw.data = head + body
                 # A connection that the server closes is not used for the next head.
@@ -174,10 +177,10 @@
 
 
 @pytest.mark.parametrize("play", PLAYERS)
-def test_field_name_with_a_blank_or_a_control_byte_reaches_no_caller(play, parser):
+def test_field_name_with_whitespace_or_a_control_character_reaches_no_caller(play, parser):
     """Guards against lines that are forwarded, and against a body with another framing.
 
-    A blank before the name folds the line into the field before it.
+    Whitespace before the name folds the line into the field before it.
     """
     heads = {}
     for description, line in INVALID_NAMES.items():
@@ -205,10 +208,12 @@
 
 
 @pytest.mark.parametrize("play", PLAYERS)
-def test_control_byte_in_a_field_value_leaves_no_caller_without_a_response(play, parser):
+def test_control_character_in_a_field_value_leaves_no_caller_without_a_response(play, parser):
     heads = {key: build_head(line) for key, line in INVALID_VALUES.items()}
     assert find_unexpected(play(heads), UNKNOWN_OUTCOME) == {}
-    reason = {key: build_head(status=b"200 O%cK" % byte) for key, byte in enumerate(CONTROL_BYTES)}
+    reason = {
+        key: build_head(status=b"200 O%cK" % byte) for key, byte in enumerate(CONTROL_CHARACTERS)
+    }
     assert find_unexpected(play(reason), UNKNOWN_OUTCOME) == {}
 
 
@@ -331,7 +336,8 @@
     async def main():
         document = b'{"first":0,"end":0,"records":[],"items":[],"vms":[]}'
         framed = head.replace(b": 5", b": %d" % len(document))
-        async with start_raw_server(framed + document) as address:
+        async with RawServer(framed + document) as server:
+            address = server.address
             async with aiohttp.ClientSession(connector=open_connector()) as session:
                 with pytest.raises(LogUnavailableError):
                     await LogClient(session=session, base_url=f"http://{address}").read("s", 0)
@@ -351,8 +357,8 @@
 def test_stand_alone_probe_with_an_invalid_head_has_no_result(head):
     async def main():
         reporting = head.replace(b"\r\n\r\n", b"\r\n%b: 1/4\r\n\r\n" % LOAD_HEADER.encode())
-        async with start_raw_server(reporting + BODY) as address:
-            return await send_stand_alone_probe(address)
+        async with RawServer(reporting + BODY) as server:
+            return await send_stand_alone_probe(server.address)
 
     assert len(asyncio.run(main())) == (head == build_head())
 
@@ -407,8 +413,8 @@
     "000": (0, []),
     "101": (101, []),
     "600": (600, []),
-    "blank in name": (200, [("Content-Length ", "5")]),
-    "control byte in value": (200, [("X-Value", "a\x01b")]),
+    "whitespace in name": (200, [("Content-Length ", "5")]),
+    "control character in value": (200, [("X-Value", "a\x01b")]),
 }
 
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -17,11 +17,11 @@
 from jasmineseam.membership.store_position import StorePosition
 from jasmineseam.platform.store_client import StoreClient
 from jasmineseam.platform.store_client import _decode_records
-from jasmineseam.programs.server_prober import ServerProber
 from jasmineseam.standalone import log_client
 from jasmineseam.standalone.vm_list_client import VmListClient
 from tests.deployment import run_scenario
 from tests.deployment import wait_until
+from tests.stand_alone_probe import build_prober
 
 DEEP = b"[" * 200_000 + b"]" * 200_000
 LARGE = b"9" * 400
@@ -369,15 +369,7 @@
 
 
 def test_odd_claim_of_a_seat_is_skipped():
-    prober = ServerProber(
-        seat_number=0,
-        seat_count=1,
-        holder="a",
-        log=None,
-        session=None,
-        servers=None,
-        list_entries=list,
-    )
+    prober = build_prober()
     for payload in (DEEP, b"\x00", b'{"seat":' + LARGE + b"}"):
         prober._apply_claim(payload.decode())
     assert prober._newest_claim_holder == ""
